Tell by the bytes handed over, not by a callback, whether an attempt may have run

`written_` was set in the write's completion handler. A message over 64 KiB, or one that meets a full buffer, has its last part written inside another handler, and its own completion waits in line. A cancel that runs before it called the attempt "never sent", so that one unsafe to repeat could be sent again (backend_pool.cpp, Write and Cancel). WriteAll now moves a count with each byte it hands over, and the pool goes by it at every end: time-out, reset, cancel, garbage. Ruled out by tests: a cancel crossing a 200 that is here, and a reset behind a whole request, were right before.

Three more of the pool's crossings, found in review, each forced in a test that fails without its mend: - A connection coming up when its backend has moved carried the request to the old address. Not sent any more. - The drain's grace counts from when it was told, which the caller now gives. - A second answer some ms behind the first passed for the answer to the next request on that connection, if that had gone out. A connection rests for 30 ms after an answer.

--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -1,7 +1,9 @@
 #include "net/backend_pool.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <iterator>
 #include <optional>
 
 namespace ivygw {
@@ -37,14 +39,17 @@
   ~Connection() { CloseSocket(); }
 
   const tcp::endpoint& address() const { return address_; }
-  bool may_have_run() const { return written_; }
+  // From its last byte on: it may have run.
+  bool written() const { return busy_ && sent_ == size_; }
   bool Usable() { return open_ && !busy_ && !Stale(socket_); }
+  bool Settled() const { return Clock::now() >= idle_since_ + pool_->settle_; }
 
   void Begin(uint64_t attempt, std::string message, double patience_s, Done done) {
     busy_ = true;
-    written_ = false;
     attempt_ = attempt;
     message_ = std::move(message);
+    sent_ = 0;
+    size_ = message_.size();
     done_ = std::move(done);
     began_ = Clock::now();
     give_up_ = began_ + Seconds(std::max(0.0, patience_s));
@@ -97,7 +102,7 @@
       if (error || closed_ || Clock::now() < timer_.expiry()) return;
       if (!busy_) return DropIdle();
       // What never came up, or is not all written, has run nothing.
-      Finish(written_ ? Result::kTimeout : Result::kConnectFailed);
+      Finish(written() ? Result::kTimeout : Result::kConnectFailed);
     });
   }
 
@@ -109,10 +114,11 @@
     WaitUntil(std::min(give_up_, began_ + pool_->connect_timeout_));
     socket_.async_connect(address_, [self = shared_from_this(), this](error_code failed) {
       if (closed_ || !busy_) return;
-      // Guards against a late connect: patience over, or the grace of a drain past. Nothing is sent then.
+      // Guards against a late connect: patience over, the grace of a drain past, or the backend at another
+      // address since. Nothing is sent then.
       const Backend* b = pool_->Find(backend_);
-      bool late =
-          Clock::now() >= give_up_ || b == nullptr || (b->draining && Clock::now() >= b->no_send_after);
+      bool late = Clock::now() >= give_up_ || b == nullptr || b->address != address_ ||
+                  (b->draining && Clock::now() >= b->no_send_after);
       if (failed || late) return Finish(Result::kConnectFailed);
       open_ = true;
       WaitUntil(give_up_);
@@ -123,10 +129,9 @@
   void Write() {
     if (!reading_) Read();
     uint64_t mine = attempt_;
-    WriteAll(socket_, message_, [self = shared_from_this(), this, mine](error_code error) {
+    WriteAll(socket_, message_, &sent_, [self = shared_from_this(), this, mine](error_code error) {
       if (closed_ || !busy_ || attempt_ != mine) return;
       if (!error) {
-        written_ = true;
         message_ = std::string();
         return;
       }
@@ -151,11 +156,11 @@
             return;
           }
           error_code bad;
-          if (error == asio::error::eof && written_ && parser_->got_some()) parser_->put_eof(bad);
+          if (error == asio::error::eof && written() && parser_->got_some()) parser_->put_eof(bad);
           // A body that only the end of the connection ends may have been cut short.
           bool whole = !bad && parser_->is_done() && parser_->get().result_int() != 200;
           if (error == asio::error::eof && whole) return Answered(false);
-          Finish(written_ ? Result::kReset : Result::kConnectFailed);
+          Finish(written() ? Result::kReset : Result::kConnectFailed);
         });
   }
 
@@ -163,14 +168,14 @@
     for (;;) {
       // Garbage, or an answer past every bound, ends this exchange.
       bool bad = Feed(*parser_, buffer_) || interim_ > kMostInterim;
-      if (bad) return Finish(written_ ? Result::kReset : Result::kConnectFailed);
+      if (bad) return Finish(written() ? Result::kReset : Result::kConnectFailed);
       if (!parser_->is_done()) return;
       if (parser_->get().result_int() / 100 != 1) break;
       ++interim_;  // an interim answer: the final one follows
       Renew(&parser_, kMaxAnswer);
     }
     // An answer to a request that is not all written: it has not begun, and the framing is in doubt.
-    if (!written_) return Finish(Result::kConnectFailed);
+    if (!written()) return Finish(Result::kConnectFailed);
     Answered(parser_->keep_alive() && buffer_.size() == 0);
   }
 
@@ -214,7 +219,8 @@
     if (keep && b != nullptr && !b->draining && b->address == address_) {
       b->kept.push_back(shared_from_this());
       idle_at_ = pool_->idle_order_.insert(pool_->idle_order_.end(), this);
-      WaitUntil(Clock::now() + pool_->idle_);
+      idle_since_ = Clock::now();
+      WaitUntil(idle_since_ + pool_->idle_);
     } else {
       CloseSocket();
     }
@@ -235,17 +241,18 @@
   Done done_;
   uint64_t attempt_ = 0;
   int interim_ = 0;
-  Clock::time_point began_, give_up_;
+  Clock::time_point began_, give_up_, idle_since_;
   bool open_ = false, closed_ = false, busy_ = false, reading_ = false;
-  bool written_ = false;  // the attempt's last byte: from here on it may have run
+  size_t sent_ = 0, size_ = 0;  // of the attempt's message: bytes handed to the socket, and all
 };
 
 BackendPool::BackendPool(asio::io_context& io, double idle_s, double connect_timeout_s, double drain_grace_s,
-                         size_t most_connections)
+                         size_t most_connections, double settle_s)
     : io_(io),
       idle_(Seconds(idle_s > 0 ? idle_s * kIdleShare : 5)),
       connect_timeout_(Seconds(connect_timeout_s)),
       drain_grace_(Seconds(std::max(0.0, drain_grace_s - kGraceMarginS))),
+      settle_(Seconds(settle_s)),
       most_(most_connections) {}
 
 BackendPool::~BackendPool() {
@@ -271,18 +278,18 @@
   for (auto& connection : kept) connection->CloseSocket();
 }
 
-void BackendPool::Drain(uint32_t backend) {
+void BackendPool::Drain(uint32_t backend, Clock::time_point told) {
   Backend* b = Find(backend);
   if (b == nullptr || b->draining) return;
   b->draining = true;
-  b->no_send_after = Clock::now() + drain_grace_;
+  b->no_send_after = told + drain_grace_;
   auto kept = std::move(b->kept);
   b->kept.clear();
   for (auto& connection : kept) connection->CloseSocket();
 }
 
 void BackendPool::Remove(uint32_t backend) {
-  Drain(backend);
+  Drain(backend, Clock::now());
   backends_.erase(backend);
 }
 
@@ -299,9 +306,11 @@
   Backend* b = Find(backend);
   bool may = b != nullptr && !(b->draining && Clock::now() >= b->no_send_after);
   std::shared_ptr<Connection> connection;
-  while (may && !b->kept.empty() && connection == nullptr) {
-    std::shared_ptr<Connection> kept = std::move(b->kept.back());
-    b->kept.pop_back();
+  while (may && connection == nullptr) {
+    auto settled = std::find_if(b->kept.rbegin(), b->kept.rend(), [](const auto& c) { return c->Settled(); });
+    if (settled == b->kept.rend()) break;
+    std::shared_ptr<Connection> kept = std::move(*settled);
+    b->kept.erase(std::prev(settled.base()));
     kept->LeaveIdle();
     if (kept->Usable()) {
       connection = std::move(kept);
@@ -329,11 +338,18 @@
   auto it = out_.find(attempt);
   if (it == out_.end()) return false;
   std::shared_ptr<Connection> connection = it->second;
-  *may_have_run = connection->may_have_run();
+  *may_have_run = connection->written();
   connection->Abort();
   return true;
 }
 
+bool BackendPool::DropUnsent(uint64_t attempt) {
+  auto it = out_.find(attempt);
+  if (it == out_.end() || it->second->written()) return false;
+  bool ran = false;
+  return Cancel(attempt, &ran);
+}
+
 void BackendPool::CloseIdle() {
   while (!idle_order_.empty()) idle_order_.front()->DropIdle();
 }
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -30,14 +30,18 @@
 class BackendPool {
  public:
   using Done = std::function<void(AttemptEnd)>;
+  // s after an answer in which its connection takes no further request. A second answer may come some
+  // milliseconds behind the first, and would pass for that to the next request.
+  static constexpr double kSettleS = 0.03;
 
   BackendPool(asio::io_context& io, double idle_s, double connect_timeout_s, double drain_grace_s,
-              size_t most_connections);
+              size_t most_connections, double settle_s = kSettleS);
   ~BackendPool();
 
   void Update(uint32_t backend, tcp::endpoint address);  // ready: named by discovery
-  void Drain(uint32_t backend);                          // told to be draining: nothing new after the grace
-  void Remove(uint32_t backend);                         // told to be gone: nothing new at all
+  // Told at `told` to be draining, perhaps a while before it was read: nothing new after the grace from then.
+  void Drain(uint32_t backend, Clock::time_point told);
+  void Remove(uint32_t backend);  // told to be gone: nothing new at all
 
   // Sends `message` on a kept connection or a new one. `done` runs exactly once, never within this call,
   // unless Cancel ends the attempt. Returns the attempt's number for Cancel.
@@ -46,6 +50,9 @@
   // Closes the attempt's connection at once. False if it has ended already. `done` is not run.
   bool Cancel(uint64_t attempt, bool* may_have_run);
 
+  // The same, but only for one that has not been written whole, on a connection that is up or still to come.
+  bool DropUnsent(uint64_t attempt);
+
   void CloseIdle();
   size_t connections() const { return connections_; }
 
@@ -57,7 +64,7 @@
   bool MakeRoom();
 
   asio::io_context& io_;
-  const Clock::duration idle_, connect_timeout_, drain_grace_;
+  const Clock::duration idle_, connect_timeout_, drain_grace_, settle_;
   const size_t most_;
   size_t connections_ = 0;
   uint64_t last_attempt_ = 0;
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -196,7 +196,8 @@
     message_.append(answer.headers);
     if (!keep) message_ += "Connection: close\r\n";
     message_.append("\r\n").append(answer.body);
-    WriteAll(socket_, message_, [self = shared_from_this(), this, keep](error_code error) {
+    sent_ = 0;
+    WriteAll(socket_, message_, &sent_, [self = shared_from_this(), this, keep](error_code error) {
       if (state_ == State::kClosed) return;
       timer_.cancel();
       if (error) return asio::post(server_->io_, [self, this] { Close(); });
@@ -250,6 +251,7 @@
   std::optional<std::list<uint64_t>::iterator> idle_at_, unfinished_at_;
   std::string message_;
   State state_ = State::kReading;
+  size_t sent_ = 0;  // bytes of message_
   size_t lingered_ = 0, blank_ = 0;
   bool begun_ = false, keep_ = true, reading_ = false, timed_ = false, continued_ = false;
 };
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -84,8 +84,8 @@
     Write();
   }
 
-  // `failed`: there is no counter to be had at the address. One that was, and then spoilt an answer or reset a
-  // connection, may be asked again on another at once.
+  // `failed`: there is no counter to be had at the address. One that was, and then spoilt an answer or reset
+  // a connection, may be asked again on another at once.
   void Close(bool failed) {
     if (closed_) return;
     closed_ = true;
@@ -119,7 +119,8 @@
     // Until the write has ended any of these may have gone out whole; only a call not yet handed over is
     // known not to have been added.
     for (auto& call : calls_) call->written = true;
-    WriteAll(socket_, sending_, [self = shared_from_this(), this](error_code error) {
+    sent_ = 0;
+    WriteAll(socket_, sending_, &sent_, [self = shared_from_this(), this](error_code error) {
       writing_ = false;
       if (closed_) return;
       if (error) return asio::post(client_->io_, [self, this] { Close(false); });
@@ -189,7 +190,7 @@
   std::deque<std::string> texts_;  // of the calls, before the connection is up
   std::string unsent_, sending_;
   char buffer_[1024];
-  size_t unread_ = 0;
+  size_t unread_ = 0, sent_ = 0;
   Clock::time_point heard_{};
   bool open_ = false, closed_ = false, writing_ = false, leaving_ = false;
 };
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -45,7 +45,7 @@
   Done done_;
   std::vector<std::shared_ptr<Connection>> connections_;
   std::vector<std::shared_ptr<Connection>> leaving_;  // to an address before, with calls out
-  std::deque<std::shared_ptr<Pending>> waiting_;  // by time: every call has the same time-out
+  std::deque<std::shared_ptr<Pending>> waiting_;      // by time: every call has the same time-out
   asio::steady_timer timer_;
   bool armed_ = false;
   Clock::duration backoff_{};
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -146,7 +146,8 @@
 }
 
 void DiscoveryClient::Send() {
-  WriteAll(socket_, message_, [this, turn = turn_](error_code error) {
+  sent_ = 0;
+  WriteAll(socket_, message_, &sent_, [this, turn = turn_](error_code error) {
     if (turn != turn_) return;
     if (error) return Failed();
     Read();
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -74,6 +74,7 @@
   boost::beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::string_body>> parser_;
   std::string message_;
+  size_t sent_ = 0;
   std::optional<uint64_t> index_;
   uint64_t turn_ = 0;  // of the exchange: handlers of an earlier one do nothing
   Clock::duration backoff_{};
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -397,7 +397,7 @@
     uint32_t id = listed.backend.id;
     switch (listed.backend.state) {
       case micadock::BackendState::kReady: pool_.Update(id, listed.address); break;
-      case micadock::BackendState::kDraining: pool_.Drain(id); break;
+      case micadock::BackendState::kDraining: pool_.Drain(id, Clock::now()); break;
       case micadock::BackendState::kGone: pool_.Remove(id); break;
     }
     if (listed.backend.state != micadock::BackendState::kGone) named.push_back(id);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -52,15 +52,22 @@
 }
 
 // Sends at once what the socket takes, which is nearly always the whole message in one system call, and the
-// rest as it drains. Calls done(error) at once or later; `text` lives until then in the caller's hands.
+// rest as it drains. Calls done(error) at once or later; `text` and `sent` live until then in the caller's
+// hands.
+// `*sent` moves with each byte handed over, never behind in a queued callback, so that whoever ends the
+// exchange can tell at any moment what has reached the wire.
 template <typename Done>
-void WriteAll(tcp::socket& socket, const std::string& text, Done done) {
+void WriteAll(tcp::socket& socket, const std::string& text, size_t* sent, Done done) {
   error_code error;
-  size_t sent = socket.send(asio::buffer(text), 0, error);
-  if (error == asio::error::would_block) error = {};
-  if (error || sent == text.size()) return done(error);
-  asio::async_write(socket, asio::buffer(text.data() + sent, text.size() - sent),
-                    [done = std::move(done)](error_code later, size_t) mutable { done(later); });
+  while (*sent < text.size() && !error) {
+    *sent += socket.send(asio::buffer(text.data() + *sent, text.size() - *sent), 0, error);
+  }
+  if (error != asio::error::would_block) return done(error);
+  socket.async_wait(tcp::socket::wait_write,
+                    [&socket, &text, sent, done = std::move(done)](error_code ended) mutable {
+                      if (ended) return done(ended);
+                      WriteAll(socket, text, sent, std::move(done));
+                    });
 }
 
 // Whether the peer has closed a kept connection, or sent bytes that nobody asked for.
@@ -71,6 +78,13 @@
   return error != asio::error::would_block;
 }
 
+// Whether bytes have come that were not read yet.
+inline bool Unread(tcp::socket& socket) {
+  char byte;
+  error_code error;
+  return socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error) > 0;
+}
+
 // Non-blocking and without delay, as every socket here is.
 inline error_code Prepare(tcp::socket& socket) {
   error_code error;
@@ -99,8 +113,8 @@
   size_t lengths = message.count(http::field::content_length);
   size_t codings = message.count(http::field::transfer_encoding);
   if (codings == 0) {
-    return lengths == 0 || (lengths == 1 && View(message[http::field::content_length]).find(',') ==
-                                                std::string_view::npos);
+    return lengths == 0 ||
+           (lengths == 1 && View(message[http::field::content_length]).find(',') == std::string_view::npos);
   }
   return codings == 1 && lengths == 0 && message.version() == 11 &&
          boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
--- /dev/null
+++ b/tests/crossing_test.cpp
@@ -0,0 +1,228 @@
+// What ends while something is still owed: each crossing is forced, by peers that stop at a chosen byte, by
+// what is made ready before the loop runs, and by a loop that the test turns itself.
+#include <fstream>
+#include <memory>
+
+#include "gateway_rig.h"
+#include "net/backend_pool.h"
+#include "net/client_server.h"
+#include "net/config.h"
+#include "net/discovery_client.h"
+
+namespace {
+
+using namespace rig;  // NOLINT
+using ivygw::Clock;
+using micadock::Result;
+
+boost::asio::ip::tcp::endpoint At(int port) {
+  return {boost::asio::ip::address_v4::loopback(), static_cast<uint16_t>(port)};
+}
+
+// A loop that runs one handler at a time, until what the test waits for has come.
+struct Loop {
+  void Until(const std::function<bool()>& done) {
+    auto end = Clock::now() + std::chrono::seconds(kLimitS);
+    while (!done() && Clock::now() < end) {
+      io.restart();
+      io.run_one_for(std::chrono::milliseconds(20));
+    }
+    EXPECT_TRUE(done());
+  }
+  boost::asio::io_context io;
+};
+
+// A listener that takes connections only when the test does.
+class Listener {
+ public:
+  explicit Listener(int places = 64) {
+    sockaddr_in at;
+    fd_ = Loopback(&at, 0);
+    EXPECT_EQ(bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
+    EXPECT_EQ(listen(fd_, places), 0);
+    socklen_t size = sizeof(at);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+    port_ = ntohs(at.sin_port);
+  }
+  ~Listener() { close(fd_); }
+  int port() const { return port_; }
+  std::unique_ptr<Wire> Take() { return std::make_unique<Wire>(accept(fd_, nullptr, nullptr)); }
+  bool Waiting() const {
+    pollfd ready{fd_, POLLIN, 0};
+    return poll(&ready, 1, 0) > 0;
+  }
+  // All that has come on connections that are there now, once their other sides have ended.
+  std::string All() {
+    std::string all;
+    while (Waiting()) {
+      auto wire = Take();
+      while (wire->More()) {
+      }
+      all += wire->unread;
+    }
+    return all;
+  }
+
+ private:
+  int fd_ = -1, port_ = 0;
+};
+
+// The pool among backends of the test's own: one attempt at a time, and how it ended.
+struct Pool : Loop {
+  explicit Pool(double settle_s = 0) : pool(io, 30, 5, 0.5, 100, settle_s) {}
+  uint64_t Send(uint32_t backend, const std::string& text) {
+    return pool.Send(backend, text, 50, [this](ivygw::AttemptEnd end) { ends.push_back(std::move(end)); });
+  }
+  std::vector<ivygw::AttemptEnd> ends;
+  ivygw::BackendPool pool;
+};
+
+// Whether an attempt may have run goes by what has reached the wire. The last bytes go out in the middle of a
+// handler, and the callback that says so still waits in line when the attempt is given up.
+TEST(BackendPool, KnowsWhatHasReachedTheWireBeforeAnyCallback) {
+  std::string text(24 << 20, 'b');  // far more than both sockets' buffers hold
+  Listener backend;
+  Pool p;
+  p.pool.Update(1, At(backend.port()));
+  uint64_t attempt = p.Send(1, text);
+  p.Until([&] { return backend.Waiting(); });
+  auto wire = backend.Take();
+  size_t got = 0;
+  bool given_up = false, ran = false;
+  auto end = Clock::now() + std::chrono::seconds(kLimitS);
+  pollfd ready{wire->fd(), POLLIN, 0};
+  while (!given_up && Clock::now() < end) {
+    // All of it is read away before the loop takes its next step, so that one step may write the rest.
+    while (poll(&ready, 1, 5) > 0 && wire->More()) {
+      got += wire->unread.size();
+      wire->unread.clear();
+    }
+    given_up = got == text.size();
+    if (given_up) {
+      EXPECT_TRUE(p.pool.Cancel(attempt, &ran));
+    } else {
+      p.io.restart();
+      p.io.poll_one();
+    }
+  }
+  EXPECT_EQ(got, text.size());
+  EXPECT_TRUE(ran) << "its last byte was there";
+}
+
+// What is not written whole has never run, even if a part of it has gone; and with its client gone it goes no
+// further.
+TEST(BackendPool, DropsOnlyWhatIsNotWrittenWhole) {
+  std::string text(24 << 20, 'b');
+  Listener backend;
+  Pool p;
+  p.pool.Update(1, At(backend.port()));
+  uint64_t coming = p.Send(1, "unsent");
+  EXPECT_TRUE(p.pool.DropUnsent(coming)) << "its connection is still to come up";
+  EXPECT_FALSE(p.pool.DropUnsent(coming));
+  uint64_t half = p.Send(1, text);
+  auto first = backend.Take(), second = backend.Take();
+  pollfd ready{second->fd(), POLLIN, 0};
+  p.Until([&] { return poll(&ready, 1, 0) > 0; });
+  EXPECT_TRUE(p.pool.DropUnsent(half));
+  while (first->More() || second->More()) {
+  }
+  EXPECT_EQ(first->unread, "");
+  EXPECT_GT(second->unread.size(), 0u);
+  EXPECT_LT(second->unread.size(), text.size());
+  uint64_t whole = p.Send(1, "whole");
+  auto third = backend.Take();
+  ready.fd = third->fd();
+  p.Until([&] { return poll(&ready, 1, 0) > 0; });
+  EXPECT_FALSE(p.pool.DropUnsent(whole)) << "a backend has it";
+  third->Write(Ok("x"));
+  p.Until([&] { return p.ends.size() == 1; });
+  EXPECT_EQ(p.ends[0].result, Result::kOk);
+}
+
+// The answer and the end of a request that a backend has whole: it may have run, whichever is seen first.
+TEST(BackendPool, AnAttemptGivenUpAsItsAnswerComesMayHaveRun) {
+  Listener backend;
+  Pool p;
+  p.pool.Update(1, At(backend.port()));
+  uint64_t attempt = p.Send(1, "request");
+  p.Until([&] { return backend.Waiting(); });
+  auto wire = backend.Take();
+  pollfd ready{wire->fd(), POLLIN, 0};
+  p.Until([&] { return poll(&ready, 1, 0) > 0; });
+  wire->Write(Ok("x"));  // there before the loop runs again
+  bool ran = false;
+  EXPECT_TRUE(p.pool.Cancel(attempt, &ran));
+  EXPECT_TRUE(ran);
+  attempt = p.Send(1, "request");
+  p.Until([&] { return backend.Waiting(); });
+  wire = backend.Take();
+  ready.fd = wire->fd();
+  p.Until([&] { return poll(&ready, 1, 0) > 0; });
+  wire->Reset();
+  p.Until([&] { return p.ends.size() == 1; });
+  EXPECT_EQ(p.ends[0].result, Result::kReset);
+}
+
+// A connection is up, but not yet seen to be, when its backend is known to be draining, gone or elsewhere.
+// The drain counts from when it was told, which may be long before it was read.
+TEST(BackendPool, SendsNothingWhenTheListOvertakesTheConnection) {
+  for (std::string what : {"told long ago", "told now", "gone", "moved"}) {
+    Listener backend;
+    Pool p;
+    p.pool.Update(1, At(backend.port()));
+    p.Send(1, "request");
+    if (what == "told long ago") p.pool.Drain(1, Clock::now() - std::chrono::seconds(5));
+    if (what == "told now") p.pool.Drain(1, Clock::now());
+    if (what == "gone") p.pool.Remove(1);
+    if (what == "moved") p.pool.Update(1, At(DeadPort()));
+    if (what == "told now") {
+      p.Until([&] { return backend.Waiting(); });
+      auto wire = backend.Take();
+      pollfd ready{wire->fd(), POLLIN, 0};
+      p.Until([&] { return poll(&ready, 1, 0) > 0 || !p.ends.empty(); });
+      continue;  // within its grace, or past it on a slow machine: either is right
+    }
+    p.Until([&] { return p.ends.size() == 1; });
+    EXPECT_EQ(p.ends[0].result, Result::kConnectFailed) << what;
+    EXPECT_EQ(backend.All(), "") << what;
+  }
+}
+
+// A second answer some milliseconds behind the first is nobody's: the next request goes on another
+// connection.
+TEST(BackendPool, LetsAConnectionSettleBeforeItsNextRequest) {
+  Listener backend;
+  Pool p(1000);
+  p.pool.Update(1, At(backend.port()));
+  p.Send(1, "one");
+  p.Until([&] { return backend.Waiting(); });
+  auto first = backend.Take();
+  first->Write(Ok("one"));
+  p.Until([&] { return p.ends.size() == 1; });
+  p.Send(1, "two");
+  first->Write(Ok("one again"));
+  p.Until([&] { return backend.Waiting(); });
+  auto second = backend.Take();
+  second->Write(Ok("two"));
+  p.Until([&] { return p.ends.size() == 2; });
+  EXPECT_EQ(p.ends[1].body, "two");
+}
+
+TEST(BackendPool, UsesASettledConnectionAgain) {
+  Listener backend;
+  Pool p(0);
+  p.pool.Update(1, At(backend.port()));
+  std::unique_ptr<Wire> wire;
+  for (size_t i = 1; i <= 3; ++i) {
+    p.Send(1, "one");
+    if (wire == nullptr) {
+      p.Until([&] { return backend.Waiting(); });
+      wire = backend.Take();
+    }
+    wire->Write(Ok("one"));
+    p.Until([&] { return p.ends.size() == i; });
+  }
+  EXPECT_FALSE(backend.Waiting());
+}
+
+}  // namespace
