Lose no request at a client's connection that shrinks, is evicted or times out

Found in review, each with a test on real sockets that fails without its mend: - After an answer `buffer_.shrink_to_fit()` freed the memory that the pending read had been given. A client whose head had come in two parts lost its next request, and the read wrote into freed memory (client_server.cpp, Write and Read). The read now has memory of its own. - Making room closed the oldest half request even when its rest was already in the socket; so did the time limit for a request to be whole. Such a request is taken by the protocol. What is here is read first. - A client that ended its sending while its answer was half written lost the rest. The answer is finished. - With 32 KiB sent ahead nothing more is read, and the client's end went unseen until its answer. It is looked for every 0.1 s.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -2,6 +2,7 @@
 
 #include <poll.h>
 
+#include <array>
 #include <cstdio>
 #include <optional>
 #include <vector>
@@ -12,12 +13,13 @@
 // What is read of a client ahead of its answer. Past that nothing is until it is answered, so that clients
 // cannot fill the memory.
 constexpr size_t kMostAhead = 2 * kMaxHeader;
-constexpr auto kLinger = std::chrono::seconds(1);    // for a client to read its last answer
+constexpr auto kLinger = std::chrono::seconds(1);       // for a client to read its last answer
 constexpr auto kAnswerRead = std::chrono::seconds(10);  // for an answer to be read
-// For a connection's first request to be whole from when it was taken, and for a later one from its first byte.
-constexpr auto kRequestWhole = std::chrono::milliseconds(2500);
-constexpr size_t kMostBlank = 64;  // bytes of empty lines ahead of a request
+constexpr size_t kMostBlank = 64;                       // bytes of empty lines ahead of a request
 constexpr size_t kMostLingerBytes = size_t{1} << 20;
+// Between two looks whether a client is gone of which no more is read until it is answered: a third of the
+// 0.3 s after which nothing of its request may be sent on.
+constexpr auto kGoneLook = std::chrono::milliseconds(100);
 constexpr auto kAcceptRetry = std::chrono::milliseconds(50);
 
 const char* Reason(int status) {
@@ -59,11 +61,13 @@
 
   // Between requests only. Bytes that have come meanwhile are a request that is to be served.
   bool CloseIfIdle() {
-    if (!idle()) return false;
-    char byte;
-    error_code error;
-    size_t n = socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    if (n > 0) return false;
+    if (!idle() || Unread(socket_)) return false;
+    Close();
+    return true;
+  }
+  // The same for one of which a part has come, or that has had its last answer: the rest may be here already.
+  bool CloseIfUnfinished() {
+    if (!unfinished_at_.has_value() || Unread(socket_)) return false;
     Close();
     return true;
   }
@@ -103,34 +107,53 @@
   // Ready for the next request, of which bytes may have come already.
   void Next() {
     state_ = State::kReading;
-    begun_ = continued_ = false;
+    begun_ = continued_ = overdue_ = false;
     blank_ = 0;
     Renew(&parser_, kMaxBody);
     idle_at_ = server_->idle_.insert(server_->idle_.end(), id_);
   }
 
   void Read() {
-    if (reading_ || state_ == State::kClosed || buffer_.size() >= kMostAhead) return;
+    if (reading_ || ended_ || state_ == State::kClosed) return;
+    if (buffer_.size() >= kMostAhead) return WatchForGoing();
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(kReadChunk),
+    // Into memory of its own: `buffer_` may be shrunk or moved while this waits.
+    socket_.async_read_some(asio::buffer(chunk_),
                             [self = shared_from_this(), this](error_code error, size_t n) {
                               reading_ = false;
                               if (state_ == State::kClosed) return;
-                              // An end in the middle of an answer's last bytes, or while nothing is held,
-                              // only ends the connection; while a request is held the client has gone away.
+                              // An end in the middle of an answer's last bytes only ends the connection when
+                              // they are out; while a request is held the client has gone away.
+                              if (error == asio::error::eof && state_ == State::kWriting) {
+                                ended_ = true;
+                                return;
+                              }
                               if (error) return Close();
-                              buffer_.commit(n);
+                              buffer_.commit(asio::buffer_copy(buffer_.prepare(n), asio::buffer(chunk_, n)));
                               if (state_ == State::kLingering) {
                                 lingered_ += n;
                                 buffer_.clear();
                                 if (lingered_ > kMostLingerBytes) return Close();
                               } else if (state_ == State::kReading) {
                                 Parse();
+                                if (overdue_ && state_ == State::kReading && !Unread(socket_)) return Close();
                               }
                               Read();
                             });
   }
 
+  // Of a client that has sent so much ahead that no more is read, only its end is looked for.
+  void WatchForGoing() {
+    if (state_ != State::kHeld) return;
+    timer_.expires_after(kGoneLook);
+    timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
+      if (cancelled || state_ != State::kHeld) return;
+      pollfd end{socket_.native_handle(), POLLRDHUP, 0};
+      if (poll(&end, 1, 0) > 0 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) return Close();
+      WatchForGoing();
+    });
+  }
+
   void Parse() {
     // Empty lines before a request are passed over (RFC 9112, 2.2).
     while (!begun_ && buffer_.size() > 0 && (Front() == '\r' || Front() == '\n')) {
@@ -157,9 +180,11 @@
   void LimitRequest() {
     if (timed_) return;
     timed_ = true;
-    timer_.expires_after(kRequestWhole);
+    timer_.expires_after(server_->request_whole_);
     timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
-      if (!cancelled && timed_ && state_ == State::kReading) Close();
+      if (cancelled || !timed_ || state_ != State::kReading) return;
+      overdue_ = true;  // what has come by now is read first: it may be the rest
+      if (!Unread(socket_)) Close();
     });
   }
   char Front() const { return *static_cast<const char*>(buffer_.data().data()); }
@@ -200,7 +225,7 @@
     WriteAll(socket_, message_, &sent_, [self = shared_from_this(), this, keep](error_code error) {
       if (state_ == State::kClosed) return;
       timer_.cancel();
-      if (error) return asio::post(server_->io_, [self, this] { Close(); });
+      if (error || ended_) return asio::post(server_->io_, [self, this] { Close(); });
       if (message_.capacity() > kMaxHeader) message_ = std::string();
       if (buffer_.size() == 0 && buffer_.capacity() > kReadChunk) buffer_.shrink_to_fit();
       if (!keep) return Linger();
@@ -246,6 +271,7 @@
   const uint64_t id_;
   tcp::socket socket_;
   asio::steady_timer timer_;  // of a request that is not whole, then of lingering
+  std::array<char, kReadChunk> chunk_;
   boost::beast::flat_buffer buffer_{kMostAhead + kReadChunk};
   std::optional<http::request_parser<http::string_body>> parser_;
   std::optional<std::list<uint64_t>::iterator> idle_at_, unfinished_at_;
@@ -254,14 +280,17 @@
   size_t sent_ = 0;  // bytes of message_
   size_t lingered_ = 0, blank_ = 0;
   bool begun_ = false, keep_ = true, reading_ = false, timed_ = false, continued_ = false;
+  bool overdue_ = false;  // its time to be whole is over
+  bool ended_ = false;    // the client sends no more
 };
 
 ClientServer::ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request,
-                           OnClosed on_closed)
+                           OnClosed on_closed, Clock::duration request_whole)
     : io_(io),
       acceptor_(io),
       retry_(io),
       most_(most_connections),
+      request_whole_(request_whole),
       on_request_(std::move(on_request)),
       on_closed_(std::move(on_closed)) {}
 
@@ -290,21 +319,24 @@
       return;
     }
     Taken(std::move(socket));
-    if (connections_.size() >= most_) {
-      // One that has been idle longest makes room, as it may be closed between requests; else the one that
-      // began first to send what is not whole, or to be read out after its last answer.
-      std::vector<uint64_t> oldest(idle_.begin(), idle_.end());
-      bool room = false;
-      for (size_t i = 0; i < oldest.size() && !room; ++i) {
-        room = oldest[i] != last_ && connections_.at(oldest[i])->CloseIfIdle();
-      }
-      if (!room && !unfinished_.empty()) connections_.at(unfinished_.front())->Close();
-    }
+    if (connections_.size() >= most_) MakeRoom();
     paused_ = connections_.size() >= most_;
     if (!paused_) Accept();
   });
 }
 
+// One that has been idle longest makes room, as it may be closed between requests; else the one that began
+// first to send what is not whole, or to be read out after its last answer. Never one whose rest is here and
+// unread.
+void ClientServer::MakeRoom() {
+  for (uint64_t id : std::vector<uint64_t>(idle_.begin(), idle_.end())) {
+    if (id != last_ && connections_.at(id)->CloseIfIdle()) return;
+  }
+  for (uint64_t id : std::vector<uint64_t>(unfinished_.begin(), unfinished_.end())) {
+    if (connections_.at(id)->CloseIfUnfinished()) return;
+  }
+}
+
 void ClientServer::Taken(tcp::socket socket) {
   Prepare(socket);
   uint64_t id = ++last_;
@@ -326,10 +358,13 @@
 }
 
 void ClientServer::CloseIdle() {
-  std::vector<uint64_t> ids(idle_.begin(), idle_.end());
-  for (uint64_t id : ids) {
-    auto it = connections_.find(id);
-    if (it != connections_.end()) it->second->CloseIfIdle();
+  for (uint64_t id : std::vector<uint64_t>(idle_.begin(), idle_.end())) connections_.at(id)->CloseIfIdle();
+}
+
+void ClientServer::CloseUnfinished() {
+  CloseIdle();
+  for (uint64_t id : std::vector<uint64_t>(unfinished_.begin(), unfinished_.end())) {
+    connections_.at(id)->CloseIfUnfinished();
   }
 }
 
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -27,7 +27,10 @@
   // The connection has ended; `held`: with a request on it that was not answered, so its client has gone.
   using OnClosed = std::function<void(uint64_t connection, bool held)>;
 
-  ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request, OnClosed on_closed);
+  // `request_whole`: for a connection's first request to be whole from when it was taken, and for a later one
+  // from its first byte.
+  ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request, OnClosed on_closed,
+               Clock::duration request_whole = std::chrono::milliseconds(2500));
   ~ClientServer();
 
   void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
@@ -36,18 +39,22 @@
 
   void AskToClose() { asking_to_close_ = true; }  // from now on each answer ends its connection
   void CloseIdle();                               // those on which nothing has begun
-  bool Quiet();                                   // no connection is open, and none waits to be accepted
+  void CloseUnfinished();  // those as well that have begun and of which nothing waits unread
+  size_t unfinished() const { return unfinished_.size(); }
+  bool Quiet();            // no connection is open, and none waits to be accepted
 
  private:
   class Connection;
 
   void Accept();
   void Taken(tcp::socket socket);
+  void MakeRoom();
 
   asio::io_context& io_;
   tcp::acceptor acceptor_;
   asio::steady_timer retry_;
   const size_t most_;
+  const Clock::duration request_whole_;
   OnRequest on_request_;
   OnClosed on_closed_;
   uint64_t last_ = 0;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -225,4 +225,125 @@
   EXPECT_FALSE(backend.Waiting());
 }
 
+// The clients' side, driven directly.
+struct Server_ : Loop {
+  explicit Server_(size_t most = 100, Clock::duration whole = std::chrono::seconds(kLimitS))
+      : server(
+            io, most,
+            [this](uint64_t connection, ivygw::ClientMessage message) {
+              requests.emplace_back(connection, std::move(message));
+            },
+            [this](uint64_t, bool held) { gone += held; }, whole) {
+    server.Listen(At(0));
+  }
+  std::unique_ptr<Wire> Connect() { return Wire::To(server.local().port()); }
+  void Reply(size_t i, std::string body) {
+    ivygw::Answer answer;
+    answer.status = 200;
+    answer.body = std::move(body);
+    server.Reply(requests.at(i).first, std::move(answer));
+  }
+  std::vector<std::pair<uint64_t, ivygw::ClientMessage>> requests;
+  int gone = 0;
+  ivygw::ClientServer server;
+};
+
+std::string Post(const std::string& body) {
+  return "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Room is made for a new connection just as another's request has come whole, but is not read yet. What was
+// taken is not ended without its answer.
+TEST(ClientServer, EvictsNoRequestThatHasJustComeWhole) {
+  Server_ s(2);
+  std::string request = Post("whole");
+  auto half = s.Connect();
+  half->Write(request.substr(0, 20));
+  s.Until([&] { return s.server.unfinished() == 1; });
+  auto fresh = s.Connect();  // ready before the rest is, so that it is taken first
+  half->Write(request.substr(20));
+  s.Until([&] { return s.requests.size() == 1 || s.server.unfinished() == 0; });
+  ASSERT_EQ(s.requests.size(), 1u);
+  s.Reply(0, "answer");
+  EXPECT_EQ(half->Read().body, "answer");
+}
+
+// One whose rest has not come makes room as ever.
+TEST(ClientServer, EvictsHalfARequest) {
+  Server_ s(2);
+  auto half = s.Connect();
+  half->Write(Post("whole").substr(0, 20));
+  s.Until([&] { return s.server.unfinished() == 1; });
+  auto fresh = s.Connect();
+  fresh->Write(Post("new"));
+  s.Until([&] { return s.requests.size() == 1; });
+  EXPECT_TRUE(half->Ended());
+}
+
+// The time to be whole is over when the rest is here and unread: it is read first.
+TEST(ClientServer, ReadsWhatIsHereBeforeItGivesARequestUp) {
+  Server_ s(100, Clock::duration::zero());
+  auto client = s.Connect();
+  client->Write(Post(std::string(20000, 'b')));  // more than one read takes
+  s.Until([&] { return s.requests.size() == 1 || !client->Open(); });
+  ASSERT_EQ(s.requests.size(), 1u);
+  EXPECT_EQ(s.requests[0].second.body().size(), 20000u);
+  auto never = s.Connect();
+  never->Write(Post("whole").substr(0, 20));
+  s.Until([&] { return !never->Open(); });
+}
+
+// A client that ends its sending while its answer is half written gets the rest.
+TEST(ClientServer, FinishesAnAnswerWhoseClientSendsNoMore) {
+  Server_ s;
+  auto client = s.Connect();
+  client->Write(Post("x"));
+  s.Until([&] { return s.requests.size() == 1; });
+  std::string body(24 << 20, 'b');
+  s.Reply(0, body);
+  client->EndSending();
+  for (int i = 0; i < 10; ++i) s.io.poll_one();  // the end is seen while the answer waits for room
+  std::string got;
+  std::thread reader([&] { got = client->Read().body; });
+  s.Until([&] { return s.server.Quiet(); });
+  reader.join();
+  EXPECT_EQ(got.size(), body.size());
+}
+
+// A head that came in parts leaves the connection's buffer larger; shrinking it must not touch what is about
+// to be read. The next request is lost otherwise.
+TEST(ClientServer, GoesOnAfterAHeadThatCameInParts) {
+  Server_ s;
+  auto client = s.Connect();
+  std::string request = Post("one");
+  client->Write(request.substr(0, 20));
+  s.Until([&] { return s.server.unfinished() == 1; });
+  client->Write(request.substr(20));
+  s.Until([&] { return s.requests.size() == 1; });
+  s.Reply(0, "first");
+  EXPECT_EQ(client->Read().body, "first");
+  for (int i = 0; i < 10; ++i) s.io.poll_one();
+  client->Write(Post("two"));
+  s.Until([&] { return s.requests.size() == 2; });
+  EXPECT_EQ(s.requests.at(1).second.body(), "two");
+}
+
+// The end of a client of which no more is read, as it has sent so much ahead, is noticed all the same.
+TEST(ClientServer, SeesAClientGoThatHasFilledItsBuffer) {
+  for (bool reset : {false, true}) {
+    Server_ s;
+    auto client = s.Connect();
+    client->Write(Post("held"));
+    s.Until([&] { return s.requests.size() == 1; });
+    client->Write(std::string(100000, 'p'));
+    for (int i = 0; i < 100; ++i) s.io.poll_one();
+    if (reset) {
+      client->Reset();
+    } else {
+      client->Close();
+    }
+    s.Until([&] { return s.gone == 1; });
+  }
+}
+
 }  // namespace
