Learn of drains within the grace after a silence, and count it from when it was told

What the agent has counts as told, also at discovery's return. A call that fell silent was given up after 1.9 s and asked anew up to 1 s later, whatever the site's grace: with one of 1 s new requests could go out for 2 s after it was told (kWaitMs, kPatience, kBackoffMost). Wait, silence and backoff are now parts of the grace less the connect time-out. Silence counts from the last bytes, so that a long list may take its time. A list now says since when it may have been told: the agent's last answer, or the start of the process. The pool counts the grace from there. A version that goes back is another numbering or an old answer: the whole list is asked for, and an older change is not taken. Each has its test, which fails without its mend.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "net/config.h"
 
@@ -12,11 +13,16 @@
 using nlohmann::json;
 
 constexpr size_t kMaxList = size_t{8} << 20;
-// Of a watch. A connection that has gone silent is noticed this and kPatience after its last word: three times
-// over within the 6 s after which a change counts as told, come what may.
-constexpr int kWaitMs = 1000;
-constexpr auto kPatience = std::chrono::milliseconds(900);
-constexpr auto kBackoffLeast = std::chrono::milliseconds(50), kBackoffMost = std::chrono::milliseconds(1000);
+// What the agent has counts as told, also while no watch is open, as after discovery's return. So whatever
+// falls silent is noticed and asked anew within the drain's grace, less what a connect under way may take and
+// what a busy core may. In s; the most is for long graces: a silent watch is noticed three times over within
+// the 6 s after which what it misses counts as told.
+constexpr double kLearnMarginS = 0.1, kLearnLeastS = 0.25, kLearnMostS = 2;
+// Parts of that: a watch's wait, the silence after it that ends it, and the most between two failed calls.
+// The agent is on this machine and answers at once, so neither a short silence nor a call costs much.
+constexpr double kWaitPart = 0.5, kSilencePart = 0.3, kBackoffPart = 0.15;
+constexpr double kBackoffLeastS = 0.02;
+constexpr int kFailuresToWhole = 3;  // in a row, after which the whole list is asked for
 
 int Position(const std::vector<std::string>& names, const std::string& name) {
   auto it = std::find(names.begin(), names.end(), PlainName(name));
@@ -92,11 +98,14 @@
     : io_(io),
       address_(address),
       site_(site),
+      learn_s_(
+          std::clamp(site.drain_grace_s - site.connect_timeout_s - kLearnMarginS, kLearnLeastS, kLearnMostS)),
       ids_(ids),
       on_list_(std::move(on_list)),
       on_failed_(std::move(on_failed)),
       socket_(io),
-      timer_(io) {}
+      timer_(io),
+      fresh_at_(Clock::now()) {}
 
 void DiscoveryClient::Start() {
   if (running_) return;
@@ -109,23 +118,24 @@
   if (address == address_) return;
   address_ = address;
   whole_next_ = true;
-  backoff_ = {};
+  failures_ = 0;
   CloseNow(socket_);
   Ask();
 }
 
 void DiscoveryClient::Ask() {
   if (!running_) return;
-  uint64_t turn = ++turn_;
+  ++turn_;
   bool watch = index_.has_value() && !whole_next_;
+  auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(Part(watch ? kWaitPart : 0));
   message_ = "GET /api/targets";
-  if (watch) message_ += "?after=" + std::to_string(*index_) + "&wait_ms=" + std::to_string(kWaitMs);
+  if (watch) {
+    message_ += "?after=" + std::to_string(*index_) + "&wait_ms=" + std::to_string(wait_ms.count());
+  }
   message_ += " HTTP/1.1\r\nHost: discovery\r\n\r\n";
   Renew(&parser_, kMaxList);
-  timer_.expires_after(kPatience + std::chrono::milliseconds(watch ? kWaitMs : 0));
-  timer_.async_wait([this, turn](error_code cancelled) {
-    if (!cancelled && turn == turn_) Failed();
-  });
+  silence_ = wait_ms + Part(kSilencePart);
+  AwaitSilence();
   if (socket_.is_open() && !Stale(socket_)) {
     Send();
   } else {
@@ -134,6 +144,16 @@
   }
 }
 
+// From the last bytes on, so that a long list may take its time. Guards against an agent that says nothing.
+void DiscoveryClient::AwaitSilence() {
+  timer_.expires_after(silence_);
+  timer_.async_wait([this, turn = turn_](error_code cancelled) {
+    if (cancelled || turn != turn_) return;
+    if (socket_.is_open() && Unread(socket_)) return AwaitSilence();  // about to be read
+    Failed();
+  });
+}
+
 void DiscoveryClient::Connect() {
   buffer_.clear();
   error_code error = Open(socket_, address_);
@@ -146,18 +166,19 @@
 }
 
 void DiscoveryClient::Send() {
-  sent_ = 0;
-  WriteAll(socket_, message_, &sent_, [this, turn = turn_](error_code error) {
-    if (turn != turn_) return;
-    if (error) return Failed();
-    Read();
-  });
+  error_code error;
+  size_t sent = socket_.send(asio::buffer(message_), 0, error);
+  if (error || sent < message_.size())
+    return Failed();  // an agent that does not read a line of a kept connection
+  Read();
 }
 
 void DiscoveryClient::Read() {
   socket_.async_read_some(buffer_.prepare(kReadChunk), [this, turn = turn_](error_code error, size_t n) {
     if (turn != turn_) return;
     buffer_.commit(n);
+    if (n > 0) silence_ = Part(kSilencePart);
+    AwaitSilence();
     error_code bad;
     if (error == asio::error::eof && parser_->got_some()) {
       parser_->put_eof(bad);
@@ -181,10 +202,17 @@
     return Failed();  // what is no list changes nothing: the old list is kept
   }
   if (whole_next_ && !list.full) return Failed();
+  // A version that goes back is another numbering, or an old answer: only a whole list that was asked for as
+  // such says what holds now.
+  if (!whole_next_ && list.index < *index_) {
+    whole_next_ = true;
+    return Failed();
+  }
   if (!parser_->keep_alive() || buffer_.size() > 0) CloseNow(socket_);
   whole_next_ = false;
   index_ = list.index;
-  backoff_ = {};
+  failures_ = 0;
+  list.told = std::exchange(fresh_at_, Clock::now());
   Ask();  // renewed at once: a watch lives on only for 200 ms between its calls
   on_list_(std::move(list));
 }
@@ -192,11 +220,10 @@
 void DiscoveryClient::Failed() {
   uint64_t turn = ++turn_;
   CloseNow(socket_);
-  backoff_ = std::clamp<Clock::duration>(backoff_ * 2, kBackoffLeast, kBackoffMost);
   // A watch that broke goes on after the same version. After a longer gap the whole list is asked for again,
   // so that no change is missed whatever the agent remembers.
-  if (backoff_ > 2 * kBackoffLeast) whole_next_ = true;
-  timer_.expires_after(backoff_);
+  if (++failures_ >= kFailuresToWhole) whole_next_ = true;
+  timer_.expires_after(std::min(Seconds(kBackoffLeastS * (1 << std::min(failures_, 8))), Part(kBackoffPart)));
   timer_.async_wait([this, turn](error_code cancelled) {
     if (!cancelled && turn == turn_) Ask();
   });
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -23,6 +23,8 @@
 struct BackendList {
   uint64_t index = 0;
   bool full = false;
+  // Since when the agent may have had this: from then on it counts as told, whenever it is read.
+  Clock::time_point told{};
   std::vector<Listed> entries;
 };
 
@@ -52,7 +54,7 @@
   DiscoveryClient(asio::io_context& io, tcp::endpoint address, const micadock::SiteSettings& site,
                   BackendIds* ids, OnList on_list, OnFailed on_failed);
 
-  void Start();  // no-op once running: what fails is tried again here
+  void Start();                             // no-op once running: what fails is tried again here
   void Move(const tcp::endpoint& address);  // asks another agent for the whole list, at once
 
  private:
@@ -62,10 +64,13 @@
   void Read();
   void Answered();
   void Failed();
+  void AwaitSilence();
+  Clock::duration Part(double share) const { return Seconds(share * learn_s_); }
 
   asio::io_context& io_;
   tcp::endpoint address_;
   const micadock::SiteSettings& site_;
+  const double learn_s_;  // in which a change has to be learnt, whatever falls silent
   BackendIds* ids_;
   OnList on_list_;
   OnFailed on_failed_;
@@ -74,10 +79,11 @@
   boost::beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::string_body>> parser_;
   std::string message_;
-  size_t sent_ = 0;
   std::optional<uint64_t> index_;
-  uint64_t turn_ = 0;  // of the exchange: handlers of an earlier one do nothing
-  Clock::duration backoff_{};
+  uint64_t turn_ = 0;           // of the exchange: handlers of an earlier one do nothing
+  Clock::time_point fresh_at_;  // the agent's last answer: what it tells later it did not have before
+  Clock::duration silence_{};   // of the exchange: how long the agent may say nothing
+  int failures_ = 0;            // in a row
   bool running_ = false, whole_next_ = true;
 };
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -169,6 +169,7 @@
     }
   }
   balancer_.emplace(config.settings, config.seed, Now(), &actions_);
+  known.told = Clock::now();
   OnList(known, ListKind::kCached);
   server_.Listen(config.listen);
   discovery_.Start();
@@ -397,7 +398,7 @@
     uint32_t id = listed.backend.id;
     switch (listed.backend.state) {
       case micadock::BackendState::kReady: pool_.Update(id, listed.address); break;
-      case micadock::BackendState::kDraining: pool_.Drain(id, Clock::now()); break;
+      case micadock::BackendState::kDraining: pool_.Drain(id, list.told); break;
       case micadock::BackendState::kGone: pool_.Remove(id); break;
     }
     if (listed.backend.state != micadock::BackendState::kGone) named.push_back(id);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -346,4 +346,94 @@
   }
 }
 
+// An agent driven by the test: the asks that came, and the lists that the client told.
+struct Agent : Loop {
+  explicit Agent(double grace_s = 1) {
+    site.drain_grace_s = grace_s;
+    site.connect_timeout_s = 0.25;
+    client.emplace(
+        io, At(listener.port()), site, &ids, [this](ivygw::BackendList list) { lists.push_back(list); },
+        [this] { ++failed; });
+    client->Start();
+    Connected();
+  }
+  void Connected() {
+    Until([&] { return listener.Waiting(); });
+    wire = listener.Take();
+  }
+  std::string Ask() {
+    pollfd ready{wire->fd(), POLLIN, 0};
+    Until([&] { return poll(&ready, 1, 0) > 0; });
+    return wire->Read().head;
+  }
+  void Tell(int index, bool full, const std::string& status) {
+    size_t before = lists.size();
+    int failures = failed;
+    wire->Write(
+        Ok(json{{"index", index}, {"snapshot", full}, {"endpoints", {Entry("a", 1, status)}}}.dump(2)));
+    Until([&] { return lists.size() > before || failed > failures; });
+  }
+  micadock::SiteSettings site;
+  ivygw::BackendIds ids;
+  Listener listener;
+  std::unique_ptr<Wire> wire;
+  std::vector<ivygw::BackendList> lists;
+  int failed = 0;
+  std::optional<ivygw::DiscoveryClient> client;
+};
+
+// What a list says counts as told since the agent's last answer, through silence, a broken watch and a start.
+TEST(DiscoveryClient, CountsAChangeAsToldSinceTheAgentsLastAnswer) {
+  auto start = Clock::now();
+  Agent agent;
+  auto begun = Clock::now();
+  agent.Ask();
+  agent.Tell(1, true, "active");
+  ASSERT_EQ(agent.lists.size(), 1u);
+  EXPECT_GE(agent.lists[0].told, start);
+  EXPECT_LE(agent.lists[0].told, begun) << "a new process counts as told from its first moment";
+  auto first = Clock::now();
+  EXPECT_NE(agent.Ask().find("after=1"), std::string::npos);
+  agent.wire->Reset();  // the watch breaks, and the change comes while none is open
+  agent.Connected();
+  agent.Ask();
+  agent.Tell(2, false, "leaving");
+  ASSERT_EQ(agent.lists.size(), 2u);
+  EXPECT_LE(agent.lists[1].told, first);
+}
+
+// A watch that is never answered again is over within the grace, less what a late connection may take.
+TEST(DiscoveryClient, AsksAnewWithinTheGrace) {
+  for (double grace_s : {0.5, 1.0, 2.0}) {
+    Agent agent(grace_s);
+    agent.Ask();
+    agent.Tell(1, true, "active");
+    std::string watch = agent.Ask();
+    size_t at = watch.find("wait_ms=");
+    ASSERT_NE(at, std::string::npos);
+    int wait_ms = std::atoi(watch.c_str() + at + 8);
+    EXPECT_GT(wait_ms, 0);
+    EXPECT_LE(wait_ms, 1000 * std::max(0.25, grace_s - 0.25) / 2);
+    auto silent = std::move(agent.wire);
+    agent.Connected();  // by itself, while the old watch stays open and silent
+    EXPECT_FALSE(agent.Ask().empty());
+  }
+}
+
+// A version that goes back says nothing by itself: the whole list is asked for, and taken whatever its
+// version.
+TEST(DiscoveryClient, TakesNoChangeOfAnOlderVersion) {
+  Agent agent;
+  agent.Ask();
+  agent.Tell(7, true, "leaving");
+  agent.Ask();
+  agent.Tell(3, false, "active");
+  EXPECT_EQ(agent.lists.size(), 1u);
+  agent.Connected();
+  EXPECT_EQ(agent.Ask().find("after="), std::string::npos);
+  agent.Tell(3, true, "active");
+  EXPECT_EQ(agent.lists.size(), 2u);
+  EXPECT_NE(agent.Ask().find("after=3"), std::string::npos);
+}
+
 }  // namespace
