Send nothing on for a client that has left, where cancels are forbidden too

A client that left while its attempt's connection was still to come up had its request sent when it did, up to the connect time-out later, where the settings forbid cancels: only the module's cancel ended attempts (gateway.cpp, OnClosed and Finish). What no backend has wholly received is now dropped at once, on a client's end and with any final answer; the outcome "never sent" is told as an event of its own. What is received whole is left to the module. Shown by a listener whose queue is full, for a close and a reset, with and without cancel. Ruled out by a test: a request held for the counter was never sent on.

With it, since both are about ends: after SIGTERM a late request had its own time, up to the class's deadline, while SIGKILL may come 3.7 s after SIGTERM. What comes after the first 0.5 s has its answer by then; half requests are closed before it.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -112,6 +112,21 @@
   return config;
 }
 
+void CheckSameGateway(const Config& now, const Config& fresh) {
+  auto effects = [](const Config& config) {
+    std::vector<micadock::Effect> all;
+    for (const auto& cls : config.settings.classes) all.push_back(cls.effect);
+    return all;
+  };
+  const char* other = fresh.name != now.name       ? "name"
+                      : fresh.listen != now.listen ? "listen"
+                      : fresh.site.classes != now.site.classes || effects(fresh) != effects(now)
+                          ? "settings.request-classes"
+                      : fresh.site.plans != now.site.plans ? "settings.tiers-of-service"
+                                                           : nullptr;
+  if (other != nullptr) throw WireError(std::string("the configuration is another gateway's: ") + other);
+}
+
 Config LoadConfig(const std::string& path) {
   std::ifstream in(path);
   std::stringstream text;
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -39,6 +39,8 @@
 
 // Throws micadock::WireError, in plain words, on what is missing or unreadable.
 Config ParseConfig(const std::string& text);
+// Throws micadock::WireError where `fresh` is another gateway's or another customer's configuration.
+void CheckSameGateway(const Config& now, const Config& fresh);
 Config LoadConfig(const std::string& path);
 
 }  // namespace ivygw
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -21,8 +21,9 @@
 constexpr unsigned long kMostTimeoutMs = 60000;
 constexpr size_t kMostId = 64;
 constexpr uint64_t kCustomers = 1ULL << 33;
-// Of the counter's time-out in the settings. A real counter answers when a call has had its turn, however late,
-// and what a late answer tells is worth more than the wait: given up, its amount would pass for others' use.
+// Of the counter's time-out in the settings. A real counter answers when a call has had its turn, however
+// late, and what a late answer tells is worth more than the wait: given up, its amount would pass for others'
+// use.
 constexpr double kCountPatience = 3;
 // Descriptors that are neither a client's nor a backend's: log, epoll, timer, listener, counter, discovery.
 constexpr int kOwnSockets = 48;
@@ -30,6 +31,10 @@
 // After SIGTERM clients go on coming for up to 0.4 s. Then kept connections are closed, and what is held is
 // finished within the longest deadline.
 constexpr double kStillComingS = 0.5, kEndMarginS = 0.6;
+// SIGKILL comes no sooner after SIGTERM than the longest deadline, of which so much counts at most, and so
+// much more (PROTOCOL). What comes after kStillComingS has its answer by then, less what a busy core may
+// take.
+constexpr double kKillDeadlineS = 3, kKillMoreS = 0.7, kKillMarginS = 0.2;
 
 // Bounded by both limits: what a client's exchange may keep in memory at most is its body, the copy that goes
 // to a backend, and the answer.
@@ -41,6 +46,21 @@
   return static_cast<size_t>(std::max(1.0, std::min(by_sockets, by_memory)));
 }
 
+BackendList KnownList(const Config& config, BackendIds* ids) {
+  if (config.known.is_null()) return {};
+  try {
+    return ParseList(config.known, config.site, ids);
+  } catch (const micadock::WireError& error) {
+    throw micadock::WireError(std::string("setting is unreadable: known: ") + error.what());
+  }
+}
+
+double LongestDeadline(const Config& config) {
+  double longest = 0;
+  for (const auto& c : config.settings.classes) longest = std::max(longest, c.deadline_s);
+  return longest;
+}
+
 template <typename T>
 bool Number(std::string_view text, T* value, int base = 10) {
   if (text.empty()) return false;
@@ -111,7 +131,8 @@
   if (timeout_ms > kMostTimeoutMs) return call;
   call.timeout_s = std::min(static_cast<double>(timeout_ms) / 1000, cls.deadline_s);
   std::string_view terms = View(message["X-Call-Terms"]);
-  auto units = Part(terms, ',', "units"), spread = Part(terms, ',', "spread"), first = Part(terms, ',', "first");
+  auto units = Part(terms, ',', "units"), spread = Part(terms, ',', "spread"),
+       first = Part(terms, ',', "first");
   if (!units || !Number(*units, &r.units) || !std::isfinite(r.units) || r.units <= 0) return call;
   if (config.settings.max_units > 0 && r.units > config.settings.max_units) return call;
   int gateways = std::max(1, config.settings.gateways), entries = 0, from = 0;
@@ -152,22 +173,15 @@
       timer_(io),
       shutdown_timer_(io) {
   if (config.has_counter) {
-    counter_.emplace(io, config.counter, kCountPatience * config.settings.count_timeout_s, config.site.connect_timeout_s,
-                     [this](micadock::CountAnswer answer) {
+    counter_.emplace(io, config.counter, kCountPatience * config.settings.count_timeout_s,
+                     config.site.connect_timeout_s, [this](micadock::CountAnswer answer) {
                        Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
                          b.OnCount(now, answer, out);
                        });
                      });
     counter_->Start();
   }
-  BackendList known;
-  if (!config.known.is_null()) {
-    try {
-      known = ParseList(config.known, config.site, &ids_);
-    } catch (const micadock::WireError& error) {
-      throw micadock::WireError(std::string("setting is unreadable: known: ") + error.what());
-    }
-  }
+  BackendList known = KnownList(config, &ids_);
   balancer_.emplace(config.settings, config.seed, Now(), &actions_);
   known.told = Clock::now();
   OnList(known, ListKind::kCached);
@@ -236,6 +250,15 @@
     answer.status = call.status;
     return server_.Reply(connection, std::move(answer));
   }
+  if (shutdown_at_ && Clock::now() > *shutdown_at_ + Seconds(kStillComingS)) {
+    call.timeout_s =
+        std::min(call.timeout_s, std::chrono::duration<double>(LastAnswer() - Clock::now()).count());
+    if (call.timeout_s <= 0) {
+      Answer answer;
+      answer.status = 503;
+      return server_.Reply(connection, std::move(answer));
+    }
+  }
   do ++last_id_;
   while (held_.count(last_id_) != 0);
   uint32_t id = last_id_;
@@ -272,17 +295,13 @@
   uint32_t id = action.request, backend = action.backend;
   int attempt = static_cast<int>(held.attempts.size());
   bool two = held.Out();
-  held.attempts.push_back({});
+  held.attempts.push_back({backend, 0, false});
   double left = std::chrono::duration<double>(held.deadline - Clock::now()).count();
   double patience = action.seconds == 0 ? left : std::min(action.seconds, left);
   if (held.answered || patience <= 0 || (two && !config_.settings.parallel_tries) ||
       attempt >= config_.settings.try_limit) {
     held.attempts.back().out = true;  // until the outcome is told
-    return asio::post(io_, [this, id, attempt, backend] {
-      AttemptEnd end;
-      end.result = Result::kNeverSent;
-      OnEnd(id, attempt, backend, std::move(end));
-    });
+    return PostEnd(id, attempt, false);
   }
   std::string message;
   message.reserve(held.head.size() + held.body.size() + 48);
@@ -304,14 +323,29 @@
   bool ran = false;
   if (!pool_.Cancel(held.attempts[attempt].number, &ran)) return;  // its own outcome is on the way
   // Closed before anything else goes out. What was not all written has not run, whatever was meant by it.
-  uint32_t id = action.request, backend = action.backend;
+  PostEnd(action.request, action.attempt, ran);
+}
+
+// The outcome of an attempt that the pool does not report, as an event of its own.
+void Gateway::PostEnd(uint32_t id, int attempt, bool ran) {
+  uint32_t backend = held_.at(id).attempts[static_cast<size_t>(attempt)].backend;
   asio::post(io_, [this, id, attempt, backend, ran] {
     AttemptEnd end;
     end.result = ran ? Result::kCancelled : Result::kNeverSent;
-    OnEnd(id, static_cast<int>(attempt), backend, std::move(end));
+    OnEnd(id, attempt, backend, std::move(end));
   });
 }
 
+// Nobody waits for the request any more: what no backend has wholly received goes no further, whether or not
+// the settings allow cancels. The rest is left to the module.
+void Gateway::DropUnsent(uint32_t id) {
+  const Held& held = held_.at(id);
+  for (size_t i = 0; i < held.attempts.size(); ++i) {
+    const Attempt& attempt = held.attempts[i];
+    if (attempt.out && pool_.DropUnsent(attempt.number)) PostEnd(id, static_cast<int>(i), false);
+  }
+}
+
 void Gateway::OnEnd(uint32_t id, int attempt, uint32_t backend, AttemptEnd end) {
   auto it = held_.find(id);
   if (it == held_.end()) return;
@@ -356,6 +390,7 @@
   held.answered = true;
   by_connection_.erase(held.connection);
   server_.Reply(held.connection, std::move(answer));
+  DropUnsent(id);
   Forget(id);
 }
 
@@ -386,6 +421,7 @@
   uint32_t id = it->second;
   by_connection_.erase(it);
   held_.at(id).answered = true;
+  DropUnsent(id);
   Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) { b.OnAbandoned(now, id, out); });
   Forget(id);
 }
@@ -462,16 +498,26 @@
   shutdown_timer_.async_wait([this](error_code cancelled) {
     if (cancelled) return;
     server_.CloseIdle();
-    double longest = 0;
-    for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline_s);
-    shutdown_timer_.expires_at(*shutdown_at_ + Seconds(longest + kEndMarginS));
+    shutdown_timer_.expires_at(LastAnswer());
     shutdown_timer_.async_wait([this](error_code stopped) {
-      if (!stopped) io_.stop();
+      if (stopped) return;
+      server_.CloseUnfinished();
+      shutdown_timer_.expires_at(*shutdown_at_ + Seconds(LongestDeadline(config_) + kEndMarginS));
+      shutdown_timer_.async_wait([this](error_code over) {
+        if (!over) io_.stop();
+      });
+      CheckShutdown();
     });
     CheckShutdown();
   });
 }
 
+// By when an answer has to be out that SIGKILL must not cut off.
+Clock::time_point Gateway::LastAnswer() const {
+  double longest = std::min(LongestDeadline(config_), kKillDeadlineS);
+  return *shutdown_at_ + Seconds(longest + kKillMoreS - kKillMarginS);
+}
+
 void Gateway::CheckShutdown() {
   if (!shutdown_at_ || Clock::now() < *shutdown_at_ + Seconds(kStillComingS)) return;
   server_.CloseIdle();
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -40,10 +40,13 @@
   // Goes on serving what comes, asks clients to close, and stops the io_context when nothing is held any more
   // or the time for that is over.
   void Shutdown();
-  void Reload(const Config& fresh);  // moves to the discovery and counter that it names
+  // Moves to the discovery and counter that it names. Throws micadock::WireError, and changes nothing, where
+  // it is not this gateway's.
+  void Reload(const Config& fresh);
 
  private:
   struct Attempt {
+    uint32_t backend = 0;
     uint64_t number = 0;  // the pool's
     bool out = false;
   };
@@ -72,6 +75,8 @@
   void Act(micadock::Action& action);
   void SendAttempt(const micadock::Action& action);
   void CancelAttempt(const micadock::Action& action);
+  void PostEnd(uint32_t id, int attempt, bool ran);
+  void DropUnsent(uint32_t id);
   void OnEnd(uint32_t id, int attempt, uint32_t backend, AttemptEnd end);
   void Report(uint32_t id, int attempt, uint32_t backend, const AttemptEnd& end);
   void Finish(uint32_t id, Answer answer);
@@ -84,6 +89,7 @@
   void AddTimer(Clock::time_point at, Due due, uint64_t tag);
   void ArmTimers();
   void CheckShutdown();
+  Clock::time_point LastAnswer() const;
 
   asio::io_context& io_;
   const Config& config_;
@@ -96,7 +102,7 @@
   DiscoveryClient discovery_;
   std::unordered_map<uint32_t, Held> held_;
   std::unordered_map<uint64_t, uint32_t> by_connection_;  // requests that are not answered
-  std::unordered_set<std::string> open_ids_;                // the clients' ids of what is held
+  std::unordered_set<std::string> open_ids_;              // the clients' ids of what is held
   uint32_t last_id_ = 0;
   uint32_t reporting_ = 0;  // the request of which an outcome is being told
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -436,4 +436,80 @@
   EXPECT_NE(agent.Ask().find("after=3"), std::string::npos);
 }
 
+// Connections of any process here to `port` that are still to come up.
+bool Connecting(int port) {
+  std::ifstream table("/proc/net/tcp");
+  char want[16];
+  std::snprintf(want, sizeof(want), ":%04X 02 ", port);  // remote address, SYN sent
+  for (std::string line; std::getline(table, line);) {
+    if (line.find(want) != std::string::npos) return true;
+  }
+  return false;
+}
+
+// The client leaves while the connection to the backend is still to come up: nothing is sent on it, whether
+// or not the settings allow cancels, and however the client leaves.
+TEST(Gateway, SendsNothingForAClientThatLeftWhileItsConnectionWasToCome) {
+  for (bool reset : {false, true}) {
+    for (bool cancel : {false, true}) {
+      Listener backend(0);
+      auto filler = Wire::To(backend.port());  // takes the only place in the listener's queue
+      json config = Config(0, 0);
+      config["settings"]["limits"]["cancel"] = cancel;
+      config["settings"]["limits"]["connect-timeout-s"] = 20.0;
+      {
+        Site site(json::array({Entry("s1", backend.port())}), config);
+        auto client = site.gateway->Connect();
+        client->Write(Request("send-lead", 1, 60000));
+        while (!Connecting(backend.port())) std::this_thread::yield();
+        if (reset) {
+          client->Reset();
+        } else {
+          client->Close();
+        }
+        // Makes room in the queue, so that a connection still wanted comes up.
+        auto taken = backend.Take();
+        auto limit = Clock::now() + std::chrono::seconds(kLimitS);
+        while (Connecting(backend.port()) && Clock::now() < limit) std::this_thread::yield();
+      }
+      EXPECT_EQ(backend.All(), "") << "reset " << reset << " cancel " << cancel;
+    }
+  }
+}
+
+// The same for one that is held for the counter's answer.
+TEST(Gateway, SendsNothingForAClientThatLeftWhileItWaitedForTheCounter) {
+  for (bool reset : {false, true}) {
+    Event asked, go;
+    Counter slow([&](const std::string&, double) {
+      asked.Add();
+      go.Wait();
+      return Bulk("0");
+    });
+    Backend backend(Says(Ok("x")));
+    Discovery discovery;
+    discovery.Set(json::array({Entry("s1", backend.port())}));
+    json config = Config(discovery.port(), slow.port());
+    config["settings"]["specifics"]["counter-timeout-s"] = 5.0;
+    config["settings"]["limits"]["cancel"] = false;
+    config["settings"]["request-classes"][2]["hard-limit-s"] = 60.0;
+    Process gateway(config);
+    EXPECT_TRUE(discovery.Told());
+    auto client = gateway.Connect();
+    client->Write(Request("send-lead", 2, 60000));
+    EXPECT_TRUE(asked.Wait());
+    EXPECT_EQ(backend.requests.count(), 0) << "held";
+    if (reset) {
+      client->Reset();
+    } else {
+      client->Close();
+    }
+    // Asked on a later connection, the gateway has seen the end of the earlier one.
+    Ask(*gateway.Connect(), "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    go.Add();
+    EXPECT_EQ(Ask(*gateway.Connect(), Request("quote", 1, 60000)).status(), 200);
+    EXPECT_EQ(backend.requests.count(), 1) << "only the one that is still wanted";
+  }
+}
+
 }  // namespace
