Keep the configuration on SIGHUP where the file is another gateway's

A sound file with another name, address, classes, effects or plans, or with a list of backends that can't be read, moved discovery and counter to what it named. It now changes nothing and says in one line what differs. With it the test for late requests after SIGTERM.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -486,6 +486,9 @@
 }
 
 void Gateway::Reload(const Config& fresh) {
+  CheckSameGateway(config_, fresh);
+  BackendIds unused;
+  KnownList(fresh, &unused);
   discovery_.Move(fresh.discovery);
   if (counter_ && fresh.has_counter) counter_->Move(fresh.counter);
 }
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -512,4 +512,53 @@
   }
 }
 
+// A request that comes late after SIGTERM, on a connection that stayed open, is to have its answer before
+// SIGKILL, however long its own time is.
+TEST(Gateway, AnswersWhatComesLateAfterSigtermBeforeSigkill) {
+  Event given_up;
+  Backend backend(Hangs(&given_up));
+  json config = Config(0, 0);
+  config["settings"]["request-classes"][2]["hard-limit-s"] = 50.0;
+  Site site(json::array({Entry("s1", backend.port())}), config);
+  auto client = site.gateway->Connect();
+  std::string request = Request("send-lead", 1, 50000);
+  client->Write(request.substr(0, 50));
+  Ask(*site.gateway->Connect(), "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  auto idle = site.gateway->Connect();
+  site.gateway->Signal(SIGTERM);
+  EXPECT_TRUE(idle->Ended());  // from now on it only finishes
+  client->Write(request.substr(50));
+  EXPECT_EQ(client->Read().status(), 502);
+  EXPECT_LE(std::atoi(backend.request(0).Header("Request-Timeout-Ms").c_str()), 3700);
+  EXPECT_EQ(site.gateway->Exit(), 0);
+}
+
+// SIGHUP with a sound file of another gateway or another customer, or with a list that is none, changes
+// nothing.
+TEST(Gateway, KeepsItsConfigurationWhenTheFileIsAnothers) {
+  std::vector<std::pair<std::string, std::function<void(json&)>>> others = {
+      {"name", [](json& c) { c["name"] = "n1"; }},
+      {"listen", [](json& c) { c["listen"] = "127.0.0.2:0"; }},
+      {"request-classes", [](json& c) { c["settings"]["request-classes"][0]["name"] = "other"; }},
+      {"request-classes", [](json& c) { c["settings"]["request-classes"][0]["effect"] = "guarded"; }},
+      {"tiers-of-service", [](json& c) { c["settings"]["tiers-of-service"].erase(1); }},
+      {"known", [](json& c) {
+         c["known"] = {{"index", "x"}};
+       }}};
+  for (const auto& [word, change] : others) {
+    Backend backend(Says(Ok("x")));
+    Discovery foreign;
+    Site site(json::array({Entry("s1", backend.port())}));
+    json config = Config(foreign.port(), DeadPort());
+    change(config);
+    site.gateway->Reload(config.dump());
+    EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote")).status(), 200);
+    site.gateway->Signal(SIGTERM);
+    EXPECT_EQ(site.gateway->Exit(), 0);
+    EXPECT_EQ(foreign.asked.count(), 0) << word;
+    EXPECT_NE(site.gateway->rest.find("kept as it was"), std::string::npos) << word;
+    EXPECT_NE(site.gateway->rest.find(word), std::string::npos) << site.gateway->rest;
+  }
+}
+
 }  // namespace
