Refuse figures that cannot be, and no keyed repeat whose connection may outlast its window

Numbers are now 0 to 1e9, and aims, deadlines, counts and stores that fill are above nought (wire.cpp, Pairs).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -697,7 +697,8 @@
     if (static_cast<int>(l.tries.size()) >= s_.try_limit) return false;
     if (!l.may_have_run || c.effect == Effect::kFree) return true;
     if (c.effect == Effect::kSingleShot) return false;
-    return now < l.ran_at + c.window_s - 2 * s_.resolution_s;
+    // What is sent now may leave only when its connection has come up.
+    return now + s_.connect_timeout_s < l.ran_at + c.window_s - 2 * s_.resolution_s;
   }
 
   bool TryAgain(Live* l, double now, Actions* out) {
--- a/src/balance.h
+++ b/src/balance.h
@@ -52,6 +52,7 @@
   bool retry_after = false;
   double max_retry_after_s = 0;
   int try_limit = 0;
+  double connect_timeout_s = 0;  // in which a new connection comes up, or fails
   double cold_from = 0;
   double warm_after_s = 0;
   double tip_multiple = 0;
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -202,6 +202,9 @@
   out->append(text);
 }
 
+// No setting is below nought or past this: what a clock in ns and an int still hold.
+constexpr double kMostNumber = 1e9;
+
 class Pairs {
  public:
   explicit Pairs(std::string_view text) {
@@ -227,14 +230,20 @@
     const std::string& text = Text(key);
     double value = 0;
     auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value))
-      Unreadable(key, text);
+    bool read = error == std::errc() && end == text.data() + text.size();
+    if (!read || !(value >= 0 && value <= kMostNumber)) Unreadable(key, text);
+    return value;
+  }
+
+  double Positive(const std::string& key) const {
+    double value = Number(key);
+    if (value == 0) Unreadable(key, Text(key));
     return value;
   }
 
   int Whole(const std::string& key) const {
     double value = Number(key);
-    if (value != std::floor(value) || value < 0 || value > 1e9) Unreadable(key, Text(key));
+    if (value != std::floor(value)) Unreadable(key, Text(key));
     return static_cast<int>(value);
   }
 
@@ -355,17 +364,18 @@
   s.retry_after = in.Flag("limits.retry-after");
   s.max_retry_after_s = in.Number("limits.max-retry-after-s");
   s.try_limit = in.Whole("limits.try-limit");
+  s.connect_timeout_s = in.Number("limits.connect-timeout-s");
   s.cold_from = in.Number("invariants.cold-from");
   s.warm_after_s = in.Number("invariants.warm-after-s");
   s.tip_multiple = in.Number("invariants.tip-multiple");
   s.tip_after_s = in.Number("invariants.tip-after-s");
   s.ask_within_s = in.Number("invariants.ask-within-s");
-  int classes = in.Whole("request-classes.count");
+  int classes = static_cast<int>(in.Positive("request-classes.count"));
   for (int i = 0; i < classes; ++i) {
     std::string at = "request-classes." + std::to_string(i) + ".";
     ClassSettings c;
-    c.aim_s = in.Number(at + "aim-s");
-    c.deadline_s = in.Number(at + "hard-limit-s");
+    c.aim_s = in.Positive(at + "aim-s");
+    c.deadline_s = in.Positive(at + "hard-limit-s");
     c.window_s = in.Number(at + "window-s");
     c.worth = in.Number(at + "importance");
     c.late_share = in.Number(at + "late-share");
@@ -376,12 +386,12 @@
                                {{"all", Scope::kAll}, {"zone", Scope::kZone}, {"cell", Scope::kCell}});
     s.classes.push_back(c);
   }
-  int plans = in.Whole("tiers-of-service.count");
+  int plans = static_cast<int>(in.Positive("tiers-of-service.count"));
   for (int i = 0; i < plans; ++i) {
     std::string at = "tiers-of-service." + std::to_string(i) + ".";
     PlanSettings p;
     p.rate = in.Number(at + "units-per-s");
-    p.burst = in.Number(at + "store-size");
+    p.burst = p.rate > 0 ? in.Positive(at + "store-size") : in.Number(at + "store-size");
     p.ceiling_rate = in.Number(at + "never-over-rate");
     p.ceiling_burst = in.Number(at + "ceiling-burst");
     p.ceiling_slack = in.Number(at + "cap-slack");
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -472,6 +472,20 @@
   EXPECT_EQ(t.Got(ActionKind::kRefuse), nullptr);
 }
 
+// A connection may take its time to come up, and the window must still be open when the request leaves on it.
+TEST(Effects, GuardedIsNotSentAgainWhereItsConnectionMayComeUpPastTheWindow) {
+  Settings s = Site();
+  s.connect_timeout_s = 0.3;
+  for (double after : {0.8, 1.0}) {
+    Bench t(s);
+    uint32_t id = t.Ask(1, 1, 1.45);
+    uint32_t at = t.Got(ActionKind::kSend)->backend;
+    t.now += after;
+    t.End(id, at, Result::kError);
+    EXPECT_EQ(t.Sent(), after < 0.9) << "of a window of 1.2 s";
+  }
+}
+
 TEST(Effects, SingleShotIsNeitherSentAgainNorRefusedOnceItMayHaveRun) {
   Bench t(Site());
   uint32_t id = t.Ask(1, 2);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -192,7 +192,8 @@
   return "me=0\npeers-total=3\nzone=2\nresolution-s=0.002\ndiscovery=pushed\nspecifics.units-top=4\n"
          "specifics.may-count=true\nspecifics.counter-timeout-s=0.03\nspecifics.counter-price=0.02\n"
          "prices.cross-zone=0.01\nlimits.cancel=true\nlimits.parallel-tries=false\nlimits.retry-after=false\n"
-         "limits.max-retry-after-s=2.0\nlimits.try-limit=5\ninvariants.cold-from=0.21\n"
+         "limits.max-retry-after-s=2.0\nlimits.try-limit=5\nlimits.connect-timeout-s=0.25\n"
+         "invariants.cold-from=0.21\n"
          "invariants.warm-after-s=16.0\ninvariants.tip-multiple=2.0\ninvariants.tip-after-s=1.0\n"
          "invariants.ask-within-s=10.0\nrequest-classes.count=1\nrequest-classes.0.aim-s=0.6\n"
          "request-classes.0.hard-limit-s=1.5\nrequest-classes.0.window-s=5\nrequest-classes.0.importance=3\n"
@@ -236,6 +237,23 @@
   }
 }
 
+// A figure that no gateway can go by is unreadable: below nought, past what a clock holds, or none where there
+// has to be one.
+TEST(Settings, NamesFiguresThatCannotBe) {
+  std::string good = GoodSettings();
+  for (std::string key : {"resolution-s", "limits.connect-timeout-s", "invariants.warm-after-s", "peers-total",
+                          "request-classes.0.hard-limit-s", "tiers-of-service.0.units-per-s"}) {
+    for (std::string value : {"-1", "1e300", "inf", "nan"}) {
+      EXPECT_EQ(SettingsWrong(good + key + "=" + value), "setting is unreadable: " + key + "=" + value);
+    }
+  }
+  for (std::string key : {"request-classes.count", "tiers-of-service.count", "request-classes.0.aim-s",
+                          "request-classes.0.hard-limit-s", "tiers-of-service.0.store-size"}) {
+    EXPECT_EQ(SettingsWrong(good + key + "=0"), "setting is unreadable: " + key + "=0");
+  }
+  EXPECT_EQ(SettingsWrong(good + "tiers-of-service.0.units-per-s=0\ntiers-of-service.0.store-size=0"), "");
+}
+
 int RunHost(const std::string& input, std::string* errors) {
   std::string base = testing::TempDir() + "micadock_" + std::to_string(getpid());
   std::FILE* f = std::fopen((base + ".in").c_str(), "wb");
