Leave what has come in the socket until it is looked at, so that no ending overlooks it

Seen: with the gateway halted while its 0.5 s after SIGTERM ran out, a new connection whose request was already there was closed unanswered (Gateway.ServesWhatWaitsUnreadAtSigtermAndAtTheEndOfItsTime, the late case, 4 of 6 plays). Cause: CloseIdle looks for unread bytes in the socket, but async_read_some had taken them out as soon as the connection was accepted, and its handler still waited behind the one that closed (client_server.cpp, Read and CloseIfIdle; the same at eviction and at a request's time limit). Ruled out: the accept queue, which Quiet sees, and kept connections, whose reads were armed before. The connection now waits for readiness and reads in the handler: what has come is in the socket or in the parser, never between. Also a test that an answer half read at SIGTERM is written out, which held before.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -2,7 +2,6 @@
 
 #include <poll.h>
 
-#include <array>
 #include <cstdio>
 #include <optional>
 #include <vector>
@@ -117,29 +116,32 @@
     if (reading_ || ended_ || state_ == State::kClosed) return;
     if (buffer_.size() >= kMostAhead) return WatchForGoing();
     reading_ = true;
-    // Into memory of its own: `buffer_` may be shrunk or moved while this waits.
-    socket_.async_read_some(asio::buffer(chunk_),
-                            [self = shared_from_this(), this](error_code error, size_t n) {
-                              reading_ = false;
-                              if (state_ == State::kClosed) return;
-                              // An end in the middle of an answer's last bytes only ends the connection when
-                              // they are out; while a request is held the client has gone away.
-                              if (error == asio::error::eof && state_ == State::kWriting) {
-                                ended_ = true;
-                                return;
-                              }
-                              if (error) return Close();
-                              buffer_.commit(asio::buffer_copy(buffer_.prepare(n), asio::buffer(chunk_, n)));
-                              if (state_ == State::kLingering) {
-                                lingered_ += n;
-                                buffer_.clear();
-                                if (lingered_ > kMostLingerBytes) return Close();
-                              } else if (state_ == State::kReading) {
-                                Parse();
-                                if (overdue_ && state_ == State::kReading && !Unread(socket_)) return Close();
-                              }
-                              Read();
-                            });
+    // What has come stays in the socket until it is looked at here, so that whoever would end the connection
+    // sees it there, and no buffer is held by what waits.
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), this](error_code error) {
+      reading_ = false;
+      if (state_ == State::kClosed) return;
+      size_t n = 0;
+      if (!error) n = socket_.receive(buffer_.prepare(kReadChunk), 0, error);
+      if (error == asio::error::would_block) return Read();
+      // An end in the middle of an answer's last bytes only ends the connection when
+      // they are out; while a request is held the client has gone away.
+      if (error == asio::error::eof && state_ == State::kWriting) {
+        ended_ = true;
+        return;
+      }
+      if (error) return Close();
+      buffer_.commit(n);
+      if (state_ == State::kLingering) {
+        lingered_ += n;
+        buffer_.clear();
+        if (lingered_ > kMostLingerBytes) return Close();
+      } else if (state_ == State::kReading) {
+        Parse();
+        if (overdue_ && state_ == State::kReading && !Unread(socket_)) return Close();
+      }
+      Read();
+    });
   }
 
   // Of a client that has sent so much ahead that no more is read, only its end is looked for.
@@ -271,7 +273,6 @@
   const uint64_t id_;
   tcp::socket socket_;
   asio::steady_timer timer_;  // of a request that is not whole, then of lingering
-  std::array<char, kReadChunk> chunk_;
   boost::beast::flat_buffer buffer_{kMostAhead + kReadChunk};
   std::optional<http::request_parser<http::string_body>> parser_;
   std::optional<std::list<uint64_t>::iterator> idle_at_, unfinished_at_;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -533,6 +533,55 @@
   EXPECT_EQ(site.gateway->Exit(), 0);
 }
 
+// What is in the accept queue, or unread on a connection that was kept, when SIGTERM is seen or when the time
+// to go on serving is over, has been taken. The process is halted, so that all of it is there when it looks.
+TEST(Gateway, ServesWhatWaitsUnreadAtSigtermAndAtTheEndOfItsTime) {
+  for (bool late : {false, true}) {
+    Backend backend(Says(Ok("x")));
+    Site site(json::array({Entry("s1", backend.port())}));
+    std::string ready = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    auto kept = site.gateway->Connect();
+    EXPECT_EQ(Ask(*kept, ready).status(), 200);
+    auto probe = site.gateway->Connect();
+    EXPECT_EQ(Ask(*probe, ready).status(), 200);
+    if (late) {
+      site.gateway->Signal(SIGTERM);
+      while (Ask(*probe, ready).status() == 200) {
+      }
+    }
+    site.gateway->Signal(SIGSTOP);
+    auto fresh = site.gateway->Connect();
+    kept->Write(Request("send-lead"));
+    fresh->Write(Request("send-lead"));
+    if (late) std::this_thread::sleep_for(std::chrono::milliseconds(600));  // its time falls due meanwhile
+    site.gateway->Signal(SIGTERM);
+    site.gateway->Signal(SIGCONT);
+    EXPECT_EQ(kept->Read().status(), 200) << late;
+    EXPECT_EQ(fresh->Read().status(), 200) << late;
+    EXPECT_EQ(site.gateway->Exit(), 0);
+  }
+}
+
+// An answer of which the client reads nothing for a while is written out after SIGTERM.
+TEST(Gateway, WritesOutAnAnswerAfterSigterm) {
+  std::string body(64 * 1024, 'b');
+  Backend backend(Says(Ok(body)));
+  Site site(json::array({Entry("s1", backend.port())}));
+  sockaddr_in at;
+  int fd = Loopback(&at, site.gateway->port), tiny = 2048;
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &tiny, sizeof(tiny));
+  ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
+  Wire client(fd);
+  client.Write(Request("send-lead"));
+  pollfd ready{fd, POLLIN, 0};
+  EXPECT_GT(poll(&ready, 1, 1000 * kLimitS), 0);  // begun
+  site.gateway->Signal(SIGTERM);
+  auto idle = site.gateway->Connect();
+  EXPECT_TRUE(idle->Ended());  // past its time to go on serving
+  EXPECT_EQ(client.Read().body.size(), body.size());
+  EXPECT_EQ(site.gateway->Exit(), 0);
+}
+
 // SIGHUP with a sound file of another gateway or another customer, or with a list that is none, changes
 // nothing.
 TEST(Gateway, KeepsItsConfigurationWhenTheFileIsAnothers) {
