--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -32,7 +32,7 @@
   using Done = std::function<void(AttemptEnd)>;
   // s after an answer in which its connection takes no further request. A second answer may come some
   // milliseconds behind the first, and would pass for that to the next request.
-  static constexpr double kSettleS = 0.03;
+  static constexpr double kSettleS = 0.01;
 
   BackendPool(asio::io_context& io, double idle_s, double connect_timeout_s, double drain_grace_s,
               size_t most_connections, double settle_s = kSettleS);
