--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -461,7 +461,8 @@
         Site site(json::array({Entry("s1", backend.port())}), config);
         auto client = site.gateway->Connect();
         client->Write(Request("send-lead", 1, 60000));
-        while (!Connecting(backend.port())) std::this_thread::yield();
+        auto limit = Clock::now() + std::chrono::seconds(kLimitS);
+        while (!Connecting(backend.port()) && Clock::now() < limit) std::this_thread::yield();
         if (reset) {
           client->Reset();
         } else {
@@ -469,7 +470,6 @@
         }
         // Makes room in the queue, so that a connection still wanted comes up.
         auto taken = backend.Take();
-        auto limit = Clock::now() + std::chrono::seconds(kLimitS);
         while (Connecting(backend.port()) && Clock::now() < limit) std::this_thread::yield();
       }
       EXPECT_EQ(backend.All(), "") << "reset " << reset << " cancel " << cancel;
