--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -202,6 +202,7 @@
   p.Send(1, "two");
   first->Write(Ok("one again"));
   p.Until([&] { return backend.Waiting(); });
+  ASSERT_TRUE(backend.Waiting());
   auto second = backend.Take();
   second->Write(Ok("two"));
   p.Until([&] { return p.ends.size() == 2; });
