Let one request in after an aim without an outcome, and what is let in come back with time

Ruled out: quotas (4 to 9 refusals a second came behind the quota's verdict), limits (nothing was out), the counter. Change: `let_in_` comes back at its rate a second whether or not answers come, and with nothing out and no outcome for one aim of the class, the next try that its quota has room for is let in. The test fails on the code before with none sent in 4 s.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -511,7 +511,7 @@
     live.deadline = now + r.left_s;
     longest_left_[r.cls] = std::max(longest_left_[r.cls], r.left_s);
     if (WorthAsking(c, r, verdict != Verdict::kOver, chance, now)) {
-      if (Crowded(r, false) && Pick(live, now, true) == nullptr) return Refuse(r.id, 0, out);
+      if (Crowded(r, false, now) && Pick(live, now, true) == nullptr) return Refuse(r.id, 0, out);
       if (chance >= 0.5) Charge(&c, r.units, 1);
       Arm(lives_[r.id] = std::move(live), now, out);
       c.waiting.push_back({r.id, r.units, chance >= 0.5});
@@ -521,7 +521,7 @@
       return;
     }
     if (verdict == Verdict::kOver) return Refuse(r.id, s_.max_retry_after_s, out);
-    bool crowded = Crowded(r, verdict != Verdict::kInside);
+    bool crowded = Crowded(r, verdict != Verdict::kInside, now);
     Node* node = Pick(live, now, crowded);
     if (node == nullptr) {
       if (verdict == Verdict::kInside) MarkPressed(now);
@@ -582,7 +582,8 @@
   // While the back end is pressed, the last of the room is kept for what is worth most for the work it makes,
   // and nothing is left for a retry that can no longer be in time. Acts only when attempts out near the
   // limits: any overload inside quotas, whatever made it. Harms a class whose work is misjudged.
-  bool Crowded(const Request& r, bool lent) {
+  bool Crowded(const Request& r, bool lent, double now) {
+    Recover(now);
     double out = 0, limit = 0, most = 0;
     for (const Node& n : nodes_) {
       if (n.info.state != BackendState::kReady) continue;
@@ -594,6 +595,8 @@
     double share = most > 0 ? c.worth / work_[r.cls] / most : 1;
     bool late = r.left_s < longest_left_[r.cls] - s_.resolution_s && c.deadline_s - r.left_s > c.aim_s;
     if (late) share *= c.late_share;
+    // With nothing out and no outcome for an aim, nothing would ever tell that the fleet has room again.
+    if (out_ == 0 && now - heard_at_ > c.aim_s && !lent) return false;
     // Gateways that seldom have an attempt out at a backend go by the answers of all backends together.
     if (Random() > std::pow(let_in_, (lent ? 2 : 1) / (kLeastRoom + (1 - kLeastRoom) * share))) return true;
     double room = kLeastRoom + (1 - kLeastRoom) * share;
@@ -673,6 +676,7 @@
     l->tries.push_back({node->info.id, now, true});
     ++l->out;
     ++node->out;
+    ++out_;
     if (node->cold_since > 0) node->budget -= WorkOf(l->r);
     auto it = customers_.find(l->r.customer);
     if (it != customers_.end()) {
@@ -736,6 +740,8 @@
     Try& t = l.tries[o.attempt];
     t.out = false;
     --l.out;
+    --out_;
+    heard_at_ = now;
     auto cust = customers_.find(l.r.customer);
     if (cust != customers_.end()) {
       Refill(&cust->second, now);
@@ -828,8 +834,14 @@
   void Steer(double pace, double now) {
     double span = std::min(1.0, now - steered_at_), step = std::max(kSteer, span / kSteerS);
     let_in_ *= std::exp(-step * std::clamp(pace / kQueueAt - 1, -1.0, 2.0));
-    let_in_ = std::clamp(let_in_ + kSteerBack * span, kLeastLetIn, 1.0);
+    let_in_ = std::max(let_in_, kLeastLetIn);
     steered_at_ = now;
+    Recover(now);
+  }
+  // Whether or not answers come.
+  void Recover(double now) {
+    let_in_ = std::min(1.0, let_in_ + kSteerBack * (now - recovered_at_));
+    recovered_at_ = now;
   }
 
   void Cut(Node* n, double now) {
@@ -911,7 +923,9 @@
   int warm_ = 0;                        // backends warm and ready
   double warm_work_ = 0, warm_at_ = 0;  // s of work served by a warm backend, fading
   double retry_store_ = kRetryStore;
-  double let_in_ = 1, steered_at_ = 0;  // share of requests let in, by the answers of all backends
+  int out_ = 0;          // attempts
+  double heard_at_ = 0;  // the last outcome of one
+  double let_in_ = 1, steered_at_ = 0, recovered_at_ = 0;  // share of requests let in, by the answers of all backends
 };
 
 Balancer::Balancer(const Settings& settings, uint64_t seed, double now, Actions* out)
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -939,6 +939,34 @@
   EXPECT_LT(let_in[1], 130);
 }
 
+// What is let in was low when the answers ended, and all that comes has little time left. Without an attempt
+// nothing would ever tell that the fleet has room, so after an aim without one the next is let in.
+TEST(Many, OneIsLetInAfterAnAimWithoutAnAttempt) {
+  Settings s = Site();
+  s.may_count = false;
+  Bench t(s, 100);
+  auto ask = [&](int i) { return t.Ask(1, 2, 0.8, 1000 + static_cast<uint64_t>(i)); };  // sent once at most
+  uint32_t first = t.Ask(1, 2, 1.4);  // so that 0.8 s left are few
+  t.End(first, t.Got(ActionKind::kSend)->backend, Result::kOk);
+  for (int i = 0; i < 400; ++i) {
+    uint32_t id = ask(i);
+    const Action* send = t.Got(ActionKind::kSend);
+    uint32_t at = send != nullptr ? send->backend : 0;
+    t.now += at != 0 ? 0.59 : 0.02;
+    if (at != 0) t.End(id, at, Result::kOk);
+  }
+  int sent = 0;
+  for (int i = 0; i < 16; ++i) {  // 4 s
+    t.now += 0.25;
+    uint32_t id = ask(1000 + i);
+    const Action* send = t.Got(ActionKind::kSend);
+    if (send == nullptr) continue;
+    ++sent;
+    t.End(id, send->backend, Result::kError);
+  }
+  EXPECT_GE(sent, 3);
+}
+
 TEST(Input, NoSenseFromTheCounterOrTheListHarmsNothing) {
   Settings s = Many();
   s.gateways = 3;
