Bound the whole way in which a change of the list is learnt, and wait between empty watches

Cause: an answer that trickles was waited for without end, since silence was counted from the last byte (Read); an interim 1xx answer was taken for the final one (Answered), so an agent that sends them was never heard; with a short grace (learn time 0.25 s) an agent that pauses for over 75 ms failed every call in the same way; and an agent that answers each watch at once with nothing new was asked again at once, without any wait (Answered called Ask): the one loop of the program that could run before any client comes. Found by reading, each forced by a test. Change: an answer has 1.2 s to be whole, in all; interim answers are passed over; the silence allowed doubles with each failure; after a failure the next watch does not wait; an early answer of the same version is followed by a pause of 20 ms, well within the 200 ms of a watch. The worst sum is a constant expression that the header checks against the 6 s after discovery could be reached and the 4 s after SIGHUP.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -13,15 +13,12 @@
 using nlohmann::json;
 
 constexpr size_t kMaxList = size_t{8} << 20;
-// What the agent has counts as told, also while no watch is open, as after discovery's return. So whatever
-// falls silent is noticed and asked anew within the drain's grace, less what a connect under way may take and
-// what a busy core may. In s; the most is for long graces: a silent watch is noticed three times over within
-// the 6 s after which what it misses counts as told.
-constexpr double kLearnMarginS = 0.1, kLearnLeastS = 0.25, kLearnMostS = 2;
-// Parts of that: a watch's wait, the silence after it that ends it, and the most between two failed calls.
-// The agent is on this machine and answers at once, so neither a short silence nor a call costs much.
-constexpr double kWaitPart = 0.5, kSilencePart = 0.3, kBackoffPart = 0.15;
+constexpr double kLearnMarginS = 0.1;  // off the grace: what a busy core may take
 constexpr double kBackoffLeastS = 0.02;
+// An agent that answers a watch without need, before so much of its wait, is asked again after so long: well
+// within the 200 ms in which a watch lives on, and no loop without a wait.
+constexpr double kEarlyPart = 0.5, kPauseS = 0.02;
+constexpr int kMostInterim = 16;     // 1xx answers ahead of the final one
 constexpr int kFailuresToWhole = 3;  // in a row, after which the whole list is asked for
 
 int Position(const std::vector<std::string>& names, const std::string& name) {
@@ -127,14 +124,18 @@
   if (!running_) return;
   ++turn_;
   bool watch = index_.has_value() && !whole_next_;
-  auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(Part(watch ? kWaitPart : 0));
+  // After a failure what is new is asked for at once, and waited for only then.
+  auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(Part(watch && failures_ == 0 ? kWaitPart : 0));
   message_ = "GET /api/targets";
   if (watch) {
     message_ += "?after=" + std::to_string(*index_) + "&wait_ms=" + std::to_string(wait_ms.count());
   }
   message_ += " HTTP/1.1\r\nHost: discovery\r\n\r\n";
   Renew(&parser_, kMaxList);
-  silence_ = wait_ms + Part(kSilencePart);
+  interim_ = 0;
+  silence_ = wait_ms + Silence();
+  asked_at_ = Clock::now();
+  give_up_ = asked_at_ + wait_ms + Seconds(kAnswerS);
   AwaitSilence();
   if (socket_.is_open() && !Stale(socket_)) {
     Send();
@@ -144,12 +145,14 @@
   }
 }
 
-// From the last bytes on, so that a long list may take its time. Guards against an agent that says nothing.
+// From the last bytes on, so that a long list may take its time, but not for ever. Guards against an agent
+// that says nothing, and one whose answer never ends.
 void DiscoveryClient::AwaitSilence() {
-  timer_.expires_after(silence_);
+  timer_.expires_at(std::min(Clock::now() + silence_, give_up_));
   timer_.async_wait([this, turn = turn_](error_code cancelled) {
     if (cancelled || turn != turn_) return;
-    if (socket_.is_open() && Unread(socket_)) return AwaitSilence();  // about to be read
+    bool late = Clock::now() >= give_up_;
+    if (!late && socket_.is_open() && Unread(socket_)) return AwaitSilence();  // about to be read
     Failed();
   });
 }
@@ -177,7 +180,7 @@
   socket_.async_read_some(buffer_.prepare(kReadChunk), [this, turn = turn_](error_code error, size_t n) {
     if (turn != turn_) return;
     buffer_.commit(n);
-    if (n > 0) silence_ = Part(kSilencePart);
+    if (n > 0) silence_ = Silence();
     AwaitSilence();
     error_code bad;
     if (error == asio::error::eof && parser_->got_some()) {
@@ -186,6 +189,11 @@
       return Failed();
     }
     if (!bad && !parser_->is_done()) bad = Feed(*parser_, buffer_);
+    for (; !bad && parser_->is_done() && parser_->get().result_int() / 100 == 1; ++interim_) {
+      if (interim_ >= kMostInterim) return Failed();
+      Renew(&parser_, kMaxList);  // an interim answer: the final one follows
+      bad = Feed(*parser_, buffer_);
+    }
     if (bad) return Failed();
     if (parser_->is_done()) return Answered();
     if (error) return Failed();
@@ -209,14 +217,31 @@
     return Failed();
   }
   if (!parser_->keep_alive() || buffer_.size() > 0) CloseNow(socket_);
+  bool nothing_new = !whole_next_ && index_ == list.index;
   whole_next_ = false;
   index_ = list.index;
   failures_ = 0;
   list.told = std::exchange(fresh_at_, Clock::now());
-  Ask();  // renewed at once: a watch lives on only for 200 ms between its calls
+  if (nothing_new && Clock::now() - asked_at_ < Part(kWaitPart * kEarlyPart)) {
+    AskSoon();
+  } else {
+    Ask();  // renewed at once: a watch lives on only for 200 ms between its calls
+  }
   on_list_(std::move(list));
 }
 
+// Longer with each failure, so that an agent that pauses longer than expected is heard all the same.
+Clock::duration DiscoveryClient::Silence() const {
+  return std::min(Part(kSilencePart) * (1 << std::min(failures_, 8)), Seconds(kAnswerS));
+}
+
+void DiscoveryClient::AskSoon() {
+  timer_.expires_after(Seconds(kPauseS));
+  timer_.async_wait([this, turn = ++turn_](error_code cancelled) {
+    if (!cancelled && turn == turn_) Ask();
+  });
+}
+
 void DiscoveryClient::Failed() {
   uint64_t turn = ++turn_;
   CloseNow(socket_);
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -48,6 +48,28 @@
 
 class DiscoveryClient {
  public:
+  // Parts of the time in which a change has to be learnt (below): a watch's wait, the silence after it that
+  // ends it, and the most between two failed calls. The agent is on this machine and answers at once, so
+  // neither a short silence nor a call costs much.
+  static constexpr double kWaitPart = 0.5, kSilencePart = 0.3, kBackoffPart = 0.15;
+  // That time, in s: the drain's grace, less what a connection under way may take and what a busy core may,
+  // since what the agent has counts as told, also while no watch is open. The most is for long graces.
+  static constexpr double kLearnLeastS = 0.25, kLearnMostS = 2;
+  // s for a whole answer, however it trickles in: 1 MB, the list of 6,700 backends, takes a twentieth of a
+  // core one second.
+  static constexpr double kAnswerS = 1.2;
+  // s within which a change is learnt that the agent has and may tell, whatever call is under way and however
+  // it ends. That call was made just before and trickles in as an old or half answer; the next, which does
+  // not wait, finds a version that goes back, also at a trickle; the one after it asks for the whole list.
+  static constexpr double WorstLearnS(double learn_s) {
+    return kWaitPart * learn_s + kAnswerS + 2 * (kBackoffPart * learn_s + kAnswerS);
+  }
+  // The same after SIGHUP has named another agent: no call is under way, and the first is for the whole list.
+  static constexpr double WorstMoveS(double learn_s) { return kAnswerS + kBackoffPart * learn_s + kAnswerS; }
+  // What a change counts as told by, in s, at the latest (STANDING): after discovery had it and could be
+  // reached, and after SIGHUP.
+  static constexpr double kToldS = 6, kToldMoveS = 4;
+
   using OnList = std::function<void(BackendList)>;
   using OnFailed = std::function<void()>;
 
@@ -65,6 +87,8 @@
   void Answered();
   void Failed();
   void AwaitSilence();
+  void AskSoon();
+  Clock::duration Silence() const;
   Clock::duration Part(double share) const { return Seconds(share * learn_s_); }
 
   asio::io_context& io_;
@@ -83,10 +107,16 @@
   uint64_t turn_ = 0;           // of the exchange: handlers of an earlier one do nothing
   Clock::time_point fresh_at_;  // the agent's last answer: what it tells later it did not have before
   Clock::duration silence_{};   // of the exchange: how long the agent may say nothing
-  int failures_ = 0;            // in a row
+  Clock::time_point asked_at_{}, give_up_{};  // the exchange's begin, and when it has to be whole
+  int failures_ = 0;                          // in a row
+  int interim_ = 0;                           // 1xx answers of the exchange
   bool running_ = false, whole_next_ = true;
 };
 
+// It has to hold for every drain's grace.
+static_assert(DiscoveryClient::WorstLearnS(DiscoveryClient::kLearnMostS) < DiscoveryClient::kToldS);
+static_assert(DiscoveryClient::WorstMoveS(DiscoveryClient::kLearnMostS) < DiscoveryClient::kToldMoveS);
+
 }  // namespace ivygw
 
 #endif  // IVYGW_NET_DISCOVERY_CLIENT_H_
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -437,6 +437,130 @@
   EXPECT_NE(agent.Ask().find("after=3"), std::string::npos);
 }
 
+// An agent whose answer trickles for ever, in a watch or in the whole list, is given up and asked anew.
+TEST(DiscoveryClient, GivesUpAnAnswerThatNeverEnds) {
+  for (bool watch : {false, true}) {
+    Agent agent(2.5);
+    agent.Ask();
+    if (watch) {
+      agent.Tell(1, true, "active");
+      agent.Ask();
+    }
+    std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n{\"index\":2,";
+    size_t at = 0;
+    auto next = Clock::now();
+    // A byte each 10 ms, so that it is never silent for long.
+    agent.Until([&] {
+      if (Clock::now() >= next) {
+        agent.wire->Write(at < text.size() ? text.substr(at, 1) : " ");
+        next = Clock::now() + std::chrono::milliseconds(10);
+        ++at;
+      }
+      return agent.failed > 0 && agent.listener.Waiting();
+    });
+    EXPECT_EQ(agent.failed, 1) << watch;
+    agent.Connected();
+    agent.Ask();
+    agent.Tell(2, true, "leaving");
+    EXPECT_EQ(agent.lists.back().index, 2u) << watch;
+  }
+}
+
+// Every way for a call to end without an answer leads to the next call, which learns what there is to learn.
+TEST(DiscoveryClient, AsksOnHoweverACallEnds) {
+  std::vector<std::pair<std::string, std::function<void(Agent&)>>> ends = {
+      {"reset", [](Agent& a) { a.wire->Reset(); }},
+      {"half an answer",
+       [](Agent& a) {
+         a.wire->Write("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"ind");
+         a.wire->EndSending();
+       }},
+      {"silence after half", [](Agent& a) { a.wire->Write("HTTP/1.1 200 OK\r\nContent-Le"); }},
+      {"503", [](Agent& a) { a.wire->Write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"); }},
+      {"noise", [](Agent& a) { a.wire->Write("*** \r\n\r\n"); }},
+      {"no list", [](Agent& a) { a.wire->Write(Ok("{}")); }}};
+  for (const auto& [how, end] : ends) {
+    Agent agent(2.5);
+    agent.Ask();
+    agent.Tell(1, true, "active");
+    for (int i = 0; i < 4; ++i) {  // past the fallback to the whole list
+      agent.Ask();
+      auto broken = std::move(agent.wire);
+      std::swap(agent.wire, broken);
+      end(agent);
+      broken = std::move(agent.wire);
+      agent.Connected();
+    }
+    EXPECT_EQ(agent.Ask().find("after="), std::string::npos) << how;
+    agent.Tell(9, true, "leaving");
+    EXPECT_EQ(agent.lists.back().index, 9u) << how;
+  }
+}
+
+// An agent that answers each watch at once with nothing new does not keep the gateway busy: between two asks
+// it waits.
+TEST(DiscoveryClient, WaitsBetweenWatchesThatTellNothing) {
+  Agent agent(2.5);
+  agent.Ask();
+  agent.Tell(1, true, "active");
+  auto begun = Clock::now();
+  constexpr int kAsks = 10;
+  for (int i = 0; i < kAsks; ++i) {
+    EXPECT_NE(agent.Ask().find("after=1"), std::string::npos);
+    bool whole = i % 2 == 0;
+    size_t before = agent.lists.size();
+    json entries = whole ? json::array({Entry("a", 1)}) : json::array();
+    agent.wire->Write(Ok(json{{"index", 1}, {"snapshot", whole}, {"endpoints", entries}}.dump()));
+    agent.Until([&] { return agent.lists.size() > before; });
+  }
+  // Never sooner, however fast the machine: a bound from below says nothing of its speed.
+  EXPECT_GE(Clock::now() - begun, (kAsks - 1) * std::chrono::milliseconds(20));
+}
+
+// Interim answers ahead of the list, and pauses in it that are longer than the silence a short grace allows.
+TEST(DiscoveryClient, HearsAnAgentThatPausesAndSendsInterimAnswers) {
+  Agent agent(0.5);  // silence is noticed in 75 ms
+  agent.Ask();
+  agent.Tell(1, true, "active");
+  std::string text = Ok(json{{"index", 2}, {"snapshot", true}, {"endpoints", {Entry("a", 1)}}}.dump());
+  std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  // Three tries at the most: the time that it may be silent has doubled to 300 ms by the third.
+  for (int i = 0; i < 6 && agent.lists.size() < 2; ++i) {
+    agent.Ask();
+    agent.wire->Write(interim + interim + text.substr(0, 40));
+    auto resume = Clock::now() + std::chrono::milliseconds(150);
+    int failed = agent.failed;
+    agent.Until([&] { return Clock::now() >= resume || agent.failed > failed; });
+    if (agent.failed > failed) {
+      agent.Connected();
+      continue;
+    }
+    agent.wire->Write(text.substr(40));
+    agent.Until([&] { return agent.lists.size() == 2 || agent.failed > failed; });
+  }
+  EXPECT_EQ(agent.lists.size(), 2u);
+}
+
+// Moved to an agent that takes connections and says nothing, and then answers.
+TEST(DiscoveryClient, AsksAgainWhereTheAgentItMovedToIsSilent) {
+  Agent agent(2.5);
+  agent.Ask();
+  agent.Tell(1, true, "active");
+  agent.Ask();
+  Listener next;
+  agent.client->Move(At(next.port()));
+  std::vector<std::unique_ptr<Wire>> silent;
+  for (int i = 0; i < 3; ++i) {
+    agent.Until([&] { return next.Waiting(); });
+    silent.push_back(next.Take());
+  }
+  agent.Until([&] { return next.Waiting(); });
+  agent.wire = next.Take();
+  EXPECT_EQ(agent.Ask().find("after="), std::string::npos);
+  agent.Tell(5, true, "leaving");
+  EXPECT_EQ(agent.lists.back().index, 5u);
+}
+
 // Connections of any process here to `port` that are still to come up.
 bool Connecting(int port) {
   std::ifstream table("/proc/net/tcp");
