Ask before each attempt whether its client has gone, and make room when all places were busy

Cause: a client's end was acted on only when its event came, behind whatever was ready before it. In a busy loop a request whole in the unread socket, a connection that came up, a failed attempt's retry or the counter's answer began an attempt long after the close; with over 32 KB sent ahead the end was looked for each 100 ms only (WatchForGoing). Change: the socket itself is asked (POLLRDHUP) when a request is taken, before each later attempt, when a connection has come up and after each wait for room in one; what nobody wants any more ends as never sent. Also found on the way, each by reading: when every place was busy as the last was taken, accepting went on only after a client closed by itself (paused_), now the first to be idle again makes room; the gateway's own lack of connections or descriptors was reported as the backend's failed connection, which set healthy ones aside, now as never sent; signals that come during the start wait for its end. Tests (the process is halted so that the end waits behind the other event): all four Gone.* and TakesNewOnesAgainWhenThoseThatWaitedHaveTheirAnswers fail on the code before. LeavesDescriptorsForItsOwnConnections... and IsReadyWithoutDiscoveryWhenManyStartAtOnce (a hundred processes, 2,000 backends) passed before and guard it.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,9 +12,10 @@
   try {
     const char* path = std::getenv("LB_CONFIG");
     if (path == nullptr) throw micadock::WireError("LB_CONFIG does not name the configuration");
-    ivygw::Config config = ivygw::LoadConfig(path);
+    // Signals first, so that one that comes during the start waits for its end.
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT), reload(io, SIGHUP);
+    ivygw::Config config = ivygw::LoadConfig(path);
     ivygw::Gateway gateway(io, config);
     signals.async_wait([&](boost::system::error_code error, int) {
       if (error) return;
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -44,13 +44,14 @@
   bool Usable() { return open_ && !busy_ && !Stale(socket_); }
   bool Settled() const { return Clock::now() >= idle_since_ + pool_->settle_; }
 
-  void Begin(uint64_t attempt, std::string message, double patience_s, Done done) {
+  void Begin(uint64_t attempt, std::string message, double patience_s, Done done, Wanted wanted) {
     busy_ = true;
     attempt_ = attempt;
     message_ = std::move(message);
     sent_ = 0;
     size_ = message_.size();
     done_ = std::move(done);
+    wanted_ = std::move(wanted);
     began_ = Clock::now();
     give_up_ = began_ + Seconds(std::max(0.0, patience_s));
     interim_ = 0;
@@ -66,6 +67,7 @@
   // Ends the attempt without an outcome.
   void Abort() {
     done_ = nullptr;
+    wanted_ = nullptr;
     pool_->out_.erase(attempt_);
     busy_ = false;
     CloseSocket();
@@ -108,8 +110,8 @@
 
   void Connect() {
     error_code error = Open(socket_, address_);
-    if (error) {
-      return asio::post(pool_->io_, [self = shared_from_this(), this] { Finish(Result::kConnectFailed); });
+    if (error) {  // out of descriptors or of memory: no fault of the backend
+      return asio::post(pool_->io_, [self = shared_from_this(), this] { Finish(Result::kNeverSent); });
     }
     WaitUntil(std::min(give_up_, began_ + pool_->connect_timeout_));
     socket_.async_connect(address_, [self = shared_from_this(), this](error_code failed) {
@@ -120,6 +122,7 @@
       bool late = Clock::now() >= give_up_ || b == nullptr || b->address != address_ ||
                   (b->draining && Clock::now() >= b->no_send_after);
       if (failed || late) return Finish(Result::kConnectFailed);
+      if (!wanted_()) return Finish(Result::kNeverSent);
       open_ = true;
       WaitUntil(give_up_);
       Write();
@@ -129,17 +132,20 @@
   void Write() {
     if (!reading_) Read();
     uint64_t mine = attempt_;
-    WriteAll(socket_, message_, &sent_, [self = shared_from_this(), this, mine](error_code error) {
+    auto written = [self = shared_from_this(), this, mine](error_code error) {
       if (closed_ || !busy_ || attempt_ != mine) return;
       if (!error) {
         message_ = std::string();
         return;
       }
       // Before its last byte was written a request has not begun. Posted: the caller may be in Begin.
-      asio::post(pool_->io_, [self, this, mine] {
-        if (busy_ && attempt_ == mine) Finish(Result::kConnectFailed);
+      Result result = error == asio::error::operation_aborted ? Result::kNeverSent : Result::kConnectFailed;
+      asio::post(pool_->io_, [self, this, mine, result] {
+        if (busy_ && attempt_ == mine) Finish(result);
       });
-    });
+    };
+    WriteAll(socket_, message_, &sent_, std::move(written),
+             [this, mine] { return closed_ || !busy_ || attempt_ != mine || wanted_(); });
   }
 
   void Read() {
@@ -226,6 +232,7 @@
     }
     Done done = std::move(done_);
     done_ = nullptr;
+    wanted_ = nullptr;
     if (done) done(std::move(end));
   }
 
@@ -239,6 +246,7 @@
   std::optional<std::list<Connection*>::iterator> idle_at_;
   std::string message_;
   Done done_;
+  Wanted wanted_;
   uint64_t attempt_ = 0;
   int interim_ = 0;
   Clock::time_point began_, give_up_, idle_since_;
@@ -301,7 +309,8 @@
   return true;
 }
 
-uint64_t BackendPool::Send(uint32_t backend, std::string message, double patience_s, Done done) {
+uint64_t BackendPool::Send(uint32_t backend, std::string message, double patience_s, Done done,
+                           Wanted wanted) {
   uint64_t attempt = ++last_attempt_;
   Backend* b = Find(backend);
   bool may = b != nullptr && !(b->draining && Clock::now() >= b->no_send_after);
@@ -322,15 +331,16 @@
     connection = std::make_shared<Connection>(this, backend, b->address);
   }
   if (connection == nullptr) {  // no such backend, its grace is over, or every connection is in use
-    asio::post(io_, [done = std::move(done)] {
+    // The last is this gateway's own shortage, and no fault of the backend.
+    asio::post(io_, [done = std::move(done), may] {
       AttemptEnd end;
-      end.result = Result::kConnectFailed;
+      end.result = may ? Result::kNeverSent : Result::kConnectFailed;
       done(std::move(end));
     });
     return attempt;
   }
   out_[attempt] = connection;
-  connection->Begin(attempt, std::move(message), patience_s, std::move(done));
+  connection->Begin(attempt, std::move(message), patience_s, std::move(done), std::move(wanted));
   return attempt;
 }
 
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -30,6 +30,7 @@
 class BackendPool {
  public:
   using Done = std::function<void(AttemptEnd)>;
+  using Wanted = std::function<bool()>;
   // s after an answer in which its connection takes no further request. A second answer may come some
   // milliseconds behind the first, and would pass for that to the next request.
   static constexpr double kSettleS = 0.01;
@@ -44,8 +45,12 @@
   void Remove(uint32_t backend);  // told to be gone: nothing new at all
 
   // Sends `message` on a kept connection or a new one. `done` runs exactly once, never within this call,
-  // unless Cancel ends the attempt. Returns the attempt's number for Cancel.
-  uint64_t Send(uint32_t backend, std::string message, double patience_s, Done done);
+  // unless Cancel ends the attempt. Returns the attempt's number for Cancel. After each wait, for a
+  // connection or for room in one, `wanted` is asked before a byte goes out; where nobody waits for it any
+  // more, the attempt ends as never sent.
+  uint64_t Send(
+      uint32_t backend, std::string message, double patience_s, Done done,
+      Wanted wanted = [] { return true; });
 
   // Closes the attempt's connection at once. False if it has ended already. `done` is not run.
   bool Cancel(uint64_t attempt, bool* may_have_run);
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -16,9 +16,9 @@
 constexpr auto kAnswerRead = std::chrono::seconds(10);  // for an answer to be read
 constexpr size_t kMostBlank = 64;                       // bytes of empty lines ahead of a request
 constexpr size_t kMostLingerBytes = size_t{1} << 20;
-// Between two looks whether a client is gone of which no more is read until it is answered: a third of the
-// 0.3 s after which nothing of its request may be sent on.
-constexpr auto kGoneLook = std::chrono::milliseconds(100);
+// Between two looks whether a client is gone of which no more is read until it is answered: half of the 0.1 s
+// after which no attempt of its request may begin.
+constexpr auto kGoneLook = std::chrono::milliseconds(50);
 constexpr auto kAcceptRetry = std::chrono::milliseconds(50);
 
 const char* Reason(int status) {
@@ -58,6 +58,11 @@
     Write(std::move(answer), keep_ && !server_->asking_to_close_);
   }
 
+  bool Gone() {
+    pollfd end{socket_.native_handle(), POLLRDHUP, 0};
+    return poll(&end, 1, 0) > 0 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
+
   // Between requests only. Bytes that have come meanwhile are a request that is to be served.
   bool CloseIfIdle() {
     if (!idle() || Unread(socket_)) return false;
@@ -110,6 +115,7 @@
     blank_ = 0;
     Renew(&parser_, kMaxBody);
     idle_at_ = server_->idle_.insert(server_->idle_.end(), id_);
+    server_->ResumeSoon();
   }
 
   void Read() {
@@ -150,8 +156,7 @@
     timer_.expires_after(kGoneLook);
     timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
       if (cancelled || state_ != State::kHeld) return;
-      pollfd end{socket_.native_handle(), POLLRDHUP, 0};
-      if (poll(&end, 1, 0) > 0 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) return Close();
+      if (Gone()) return Close();
       WatchForGoing();
     });
   }
@@ -320,7 +325,7 @@
       return;
     }
     Taken(std::move(socket));
-    if (connections_.size() >= most_) MakeRoom();
+    if (connections_.size() >= most_) MakeRoom(last_);
     paused_ = connections_.size() >= most_;
     if (!paused_) Accept();
   });
@@ -328,16 +333,25 @@
 
 // One that has been idle longest makes room, as it may be closed between requests; else the one that began
 // first to send what is not whole, or to be read out after its last answer. Never one whose rest is here and
-// unread.
-void ClientServer::MakeRoom() {
+// unread, nor `spared`, which has just come.
+void ClientServer::MakeRoom(uint64_t spared) {
   for (uint64_t id : std::vector<uint64_t>(idle_.begin(), idle_.end())) {
-    if (id != last_ && connections_.at(id)->CloseIfIdle()) return;
+    if (id != spared && connections_.at(id)->CloseIfIdle()) return;
   }
   for (uint64_t id : std::vector<uint64_t>(unfinished_.begin(), unfinished_.end())) {
     if (connections_.at(id)->CloseIfUnfinished()) return;
   }
 }
 
+// Where every connection was busy when the last place was taken, the first to be idle again makes room for
+// what waits to be accepted. Posted: it may be in the middle of becoming so.
+void ClientServer::ResumeSoon() {
+  if (!paused_) return;
+  asio::post(io_, [this] {
+    if (paused_) MakeRoom(0);
+  });
+}
+
 void ClientServer::Taken(tcp::socket socket) {
   Prepare(socket);
   uint64_t id = ++last_;
@@ -353,6 +367,18 @@
   kept->Reply(std::move(answer));
 }
 
+bool ClientServer::Gone(uint64_t connection) {
+  auto it = connections_.find(connection);
+  return it == connections_.end() || it->second->Gone();
+}
+
+void ClientServer::Drop(uint64_t connection) {
+  auto it = connections_.find(connection);
+  if (it == connections_.end()) return;
+  auto kept = it->second;
+  kept->Close();
+}
+
 bool ClientServer::Quiet() {
   pollfd waiting{acceptor_.native_handle(), POLLIN, 0};
   return connections_.empty() && poll(&waiting, 1, 0) == 0;
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -36,19 +36,24 @@
   void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
   tcp::endpoint local() const { return acceptor_.local_endpoint(); }
   void Reply(uint64_t connection, Answer answer);
+  // Whether its client has closed it or ended its sending, whatever is still unread: asked of the socket,
+  // since the event may wait behind others in a busy loop.
+  bool Gone(uint64_t connection);
+  void Drop(uint64_t connection);  // of a client that has gone
 
   void AskToClose() { asking_to_close_ = true; }  // from now on each answer ends its connection
   void CloseIdle();                               // those on which nothing has begun
   void CloseUnfinished();  // those as well that have begun and of which nothing waits unread
   size_t unfinished() const { return unfinished_.size(); }
-  bool Quiet();            // no connection is open, and none waits to be accepted
+  bool Quiet();  // no connection is open, and none waits to be accepted
 
  private:
   class Connection;
 
   void Accept();
   void Taken(tcp::socket socket);
-  void MakeRoom();
+  void MakeRoom(uint64_t spared);
+  void ResumeSoon();
 
   asio::io_context& io_;
   tcp::acceptor acceptor_;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -242,6 +242,8 @@
     answer.status = target == "/-/ready" ? (ready_ && !shutdown_at_ ? 200 : 503) : 404;
     return server_.Reply(connection, std::move(answer));
   }
+  // Its client has gone, perhaps long before a busy loop got here: its end is read next.
+  if (server_.Gone(connection)) return;
   ClientCall call = ReadCall(message, config_);
   // Another request of this id is open, or an attempt of it is still out: two of one id would be mixed up.
   if (call.status == 0 && open_ids_.count(std::string(call.id)) != 0) call.status = 400;
@@ -283,9 +285,11 @@
   call.request.id = id;
   call.request.left_s = call.timeout_s - margin;
   AddTimer(held.deadline, Due::kGuard, id);
+  looked_ = id;
   Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
     b.OnRequest(now, call.request, out);
   });
+  looked_ = 0;
 }
 
 void Gateway::SendAttempt(const Action& action) {
@@ -298,7 +302,9 @@
   held.attempts.push_back({backend, 0, false});
   double left = std::chrono::duration<double>(held.deadline - Clock::now()).count();
   double patience = action.seconds == 0 ? left : std::min(action.seconds, left);
-  if (held.answered || patience <= 0 || (two && !config_.settings.parallel_tries) ||
+  // Whatever the attempt waited for, its client is asked after before each.
+  bool gone = looked_ != id && server_.Gone(held.connection);
+  if (held.answered || gone || patience <= 0 || (two && !config_.settings.parallel_tries) ||
       attempt >= config_.settings.try_limit) {
     held.attempts.back().out = true;  // until the outcome is told
     return PostEnd(id, attempt, false);
@@ -311,7 +317,8 @@
   held.attempts.back().out = true;
   held.attempts.back().number = pool_.Send(
       backend, std::move(message), patience,
-      [this, id, attempt, backend](AttemptEnd end) { OnEnd(id, attempt, backend, std::move(end)); });
+      [this, id, attempt, backend](AttemptEnd end) { OnEnd(id, attempt, backend, std::move(end)); },
+      [this, connection = held.connection] { return !server_.Gone(connection); });
 }
 
 void Gateway::CancelAttempt(const Action& action) {
@@ -353,6 +360,9 @@
   held.attempts[static_cast<size_t>(attempt)].out = false;
   reporting_ = id;
   Result r = end.result;
+  // So that the module tries nowhere else.
+  if (r == Result::kNeverSent && !held.answered && server_.Gone(held.connection))
+    server_.Drop(held.connection);
   if (r != Result::kFull && r != Result::kConnectFailed && r != Result::kNeverSent) held.may_have_run = true;
   // The first good answer goes to the client by itself and ends the request. Told to the module first would
   // be as good, but its client is waiting.
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -104,6 +104,7 @@
   std::unordered_map<uint64_t, uint32_t> by_connection_;  // requests that are not answered
   std::unordered_set<std::string> open_ids_;              // the clients' ids of what is held
   uint32_t last_id_ = 0;
+  uint32_t looked_ = 0;     // the request that is being taken: its client was there a moment ago
   uint32_t reporting_ = 0;  // the request of which an outcome is being told
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   asio::steady_timer timer_;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -51,22 +51,28 @@
   }
 }
 
+// Whoever waits for a message that is being written still wants it.
+inline bool Always() { return true; }
+
 // Sends at once what the socket takes, which is nearly always the whole message in one system call, and the
 // rest as it drains. Calls done(error) at once or later; `text` and `sent` live until then in the caller's
 // hands.
 // `*sent` moves with each byte handed over, never behind in a queued callback, so that whoever ends the
-// exchange can tell at any moment what has reached the wire.
-template <typename Done>
-void WriteAll(tcp::socket& socket, const std::string& text, size_t* sent, Done done) {
+// exchange can tell at any moment what has reached the wire. After each wait `wanted` is asked, and the rest
+// goes out only if so; else the error is operation_aborted.
+template <typename Done, typename Wanted = bool (*)()>
+void WriteAll(tcp::socket& socket, const std::string& text, size_t* sent, Done done,
+              Wanted wanted = &Always) {
   error_code error;
   while (*sent < text.size() && !error) {
     *sent += socket.send(asio::buffer(text.data() + *sent, text.size() - *sent), 0, error);
   }
   if (error != asio::error::would_block) return done(error);
   socket.async_wait(tcp::socket::wait_write,
-                    [&socket, &text, sent, done = std::move(done)](error_code ended) mutable {
+                    [&socket, &text, sent, done = std::move(done), wanted](error_code ended) mutable {
+                      if (!ended && !wanted()) ended = asio::error::operation_aborted;
                       if (ended) return done(ended);
-                      WriteAll(socket, text, sent, std::move(done));
+                      WriteAll(socket, text, sent, std::move(done), wanted);
                     });
 }
 
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -347,6 +347,22 @@
   }
 }
 
+// Every place is taken by clients that wait for their answers when another is to be accepted. The first whose
+// answer is out makes room, though its connection could be kept.
+TEST(ClientServer, TakesNewOnesAgainWhenThoseThatWaitedHaveTheirAnswers) {
+  Server_ s(1);
+  auto first = s.Connect();
+  first->Write(Post("first"));
+  s.Until([&] { return s.requests.size() == 1; });
+  auto second = s.Connect();
+  second->Write(Post("second"));
+  for (int i = 0; i < 100; ++i) s.io.poll_one();
+  s.Reply(0, "x");
+  s.Until([&] { return s.requests.size() == 2; });
+  EXPECT_EQ(first->Read().status(), 200);
+  EXPECT_EQ(s.gone, 0);
+}
+
 // An agent driven by the test: the asks that came, and the lists that the client told.
 struct Agent : Loop {
   explicit Agent(double grace_s = 1) {
@@ -637,6 +653,173 @@
   }
 }
 
+// A client's end counts from when it came, not from when a busy process looks. The process is halted while
+// the client leaves, so that the end waits behind another event that would begin an attempt. Cancels are
+// forbidden, so that nothing but the look before each attempt can keep it back.
+json NoCancel(int discovery, int counter) {
+  json config = Config(discovery, counter);
+  config["settings"]["limits"]["cancel"] = false;
+  config["settings"]["limits"]["connect-timeout-s"] = 20.0;
+  config["settings"]["specifics"]["counter-timeout-s"] = 5.0;
+  for (json& cls : config["settings"]["request-classes"]) cls["hard-limit-s"] = 60.0;
+  return config;
+}
+void Leave(Wire& client, bool reset) {
+  if (reset) return client.Reset();
+  client.Close();
+}
+
+TEST(Gone, WithItsRequestUnreadInTheSocket) {
+  for (bool reset : {false, true}) {
+    Backend backend(Says(Ok("x")));
+    Site site(json::array({Entry("s1", backend.port())}), NoCancel(0, 0));
+    auto client = site.gateway->Connect();
+    Ask(*client, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    site.gateway->Signal(SIGSTOP);
+    client->Write(Request("quote", 1, 60000));
+    Leave(*client, reset);
+    site.gateway->Signal(SIGCONT);
+    EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote", 1, 60000)).status(), 200);
+    EXPECT_EQ(backend.requests.count(), 1) << "only the one that is still wanted; reset " << reset;
+  }
+}
+
+TEST(Gone, BehindWhatItSentAheadWhileItWaitedForTheCounter) {
+  Event asked, go;
+  Counter slow([&](const std::string&, double) {
+    asked.Add();
+    go.Wait();
+    return Bulk("0");
+  });
+  Backend backend(Says(Ok("x")));
+  Discovery discovery;
+  discovery.Set(json::array({Entry("s1", backend.port())}));
+  Process gateway(NoCancel(discovery.port(), slow.port()));
+  EXPECT_TRUE(discovery.Told());
+  auto client = gateway.Connect();
+  client->Write(Request("send-lead", 2, 60000));
+  EXPECT_TRUE(asked.Wait());
+  client->Write(std::string(40000, 'G'));  // more than is read ahead
+  Ask(*gateway.Connect(), "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  gateway.Signal(SIGSTOP);
+  go.Add();  // its answer comes first
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  client->EndSending();
+  gateway.Signal(SIGCONT);
+  EXPECT_EQ(Ask(*gateway.Connect(), Request("quote", 1, 60000)).status(), 200);
+  EXPECT_EQ(backend.requests.count(), 1) << "only the one that is still wanted";
+}
+
+TEST(Gone, BehindTheConnectionThatItsRequestWaitedFor) {
+  for (bool reset : {false, true}) {
+    Listener backend(0);
+    auto filler = Wire::To(backend.port());
+    {
+      Site site(json::array({Entry("s1", backend.port())}), NoCancel(0, 0));
+      auto client = site.gateway->Connect();
+      client->Write(Request("quote", 1, 60000));
+      auto limit = Clock::now() + std::chrono::seconds(kLimitS);
+      while (!Connecting(backend.port()) && Clock::now() < limit) std::this_thread::yield();
+      site.gateway->Signal(SIGSTOP);
+      auto taken = backend.Take();
+      while (Connecting(backend.port()) && Clock::now() < limit) std::this_thread::yield();
+      Leave(*client, reset);
+      site.gateway->Signal(SIGCONT);
+    }
+    EXPECT_EQ(backend.All(), "") << "reset " << reset;
+  }
+}
+
+TEST(Gone, BehindTheFailureAfterWhichItsRequestWouldBeTriedAgain) {
+  for (bool reset : {false, true}) {
+    Event warm, go, failing;
+    auto answer = [&](const Message& request, Wire&) {
+      if (request.head.find("/warm ") != std::string::npos) {
+        warm.Add();
+        warm.Wait(2);
+      }
+      if (request.head.find("/fail ") == std::string::npos) return Ok("x");
+      failing.Add();
+      go.Wait();
+      return std::string("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
+    };
+    Backend one(answer), two(answer);
+    Site site(json::array({Entry("s1", one.port()), Entry("s2", two.port())}), NoCancel(0, 0));
+    // A connection to each is kept, so that nothing but the look keeps a second attempt back.
+    auto other = site.gateway->Connect(), client = site.gateway->Connect();
+    other->Write(Request("quote/warm", 1, 60000));
+    client->Write(Request("quote/warm", 1, 60000));
+    EXPECT_EQ(other->Read().status(), 200);
+    EXPECT_EQ(client->Read().status(), 200);
+    EXPECT_EQ(one.connections() + two.connections(), 2);
+    client->Write(Request("quote/fail", 1, 60000));
+    EXPECT_TRUE(failing.Wait());
+    site.gateway->Signal(SIGSTOP);
+    go.Add();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));  // so that the failure comes before the end
+    Leave(*client, reset);
+    site.gateway->Signal(SIGCONT);
+    EXPECT_EQ(Ask(*other, Request("quote", 1, 60000)).status(), 200);
+    EXPECT_EQ(failing.count(), 1) << "no second attempt; reset " << reset;
+  }
+}
+
+// Idle clients hold every descriptor that clients may have while discovery is silent and the counter has
+// gone. When these are back, at other addresses even, their connections come up, new clients are taken and
+// served by a backend that was not known before, and the idle ones make room.
+TEST(Gateway, LeavesDescriptorsForItsOwnConnectionsWhenIdleClientsFillIt) {
+  constexpr rlim_t kDescriptors = 64;
+  Backend before(Says(Ok("before"))), after(Says(Ok("after")));
+  json config = Config(0, 0);
+  config["limits"]["sockets"] = kDescriptors;
+  Site site(json::array({Entry("s1", before.port())}), config, IVYGW, kDescriptors);
+  site.discovery.Silence(true);
+  site.counter.Stop();
+  std::vector<std::unique_ptr<Wire>> idle;
+  for (int i = 0; i < 200; ++i) idle.push_back(site.gateway->Connect());
+  EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote")).body, "before") << "a new client is served";
+  Counter counter([](const std::string&, double) { return Bulk("0"); });
+  Discovery discovery;
+  discovery.Set(json::array({Entry("s2", after.port())}));
+  config["discovery"] = "127.0.0.1:" + std::to_string(discovery.port());
+  config["counter"] = "127.0.0.1:" + std::to_string(counter.port());
+  site.gateway->Reload(config.dump());
+  EXPECT_TRUE(discovery.Told()) << "its connection to discovery comes up";
+  EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote")).body, "after") << "and one to a backend";
+  while (counter.calls.count() == 0) Ask(*site.gateway->Connect(), Request("quote", 2));
+  EXPECT_TRUE(idle.front()->Ended()) << "the one idle longest made room";
+}
+
+// Hundreds start at once with a long list, while discovery is silent or refuses: each is ready by the list
+// that it knew, since readiness waits for no more than the first call to end.
+TEST(Gateway, IsReadyWithoutDiscoveryWhenManyStartAtOnce) {
+  constexpr size_t kProcesses = 100, kListed = 2000;
+  json known = json::array();
+  for (size_t i = 0; i < kListed; ++i) known.push_back(Entry(std::to_string(i), 9));
+  Discovery silent;
+  silent.Silence(true);
+  std::string configs[] = {Config(silent.port(), DeadPort(), known).dump(),
+                           Config(DeadPort(), DeadPort(), known).dump()};
+  std::vector<std::unique_ptr<Process>> gateways(kProcesses);
+  std::vector<std::thread> starting;
+  for (size_t i = 0; i < kProcesses; ++i) {
+    starting.emplace_back(
+        [&, i] { gateways[i] = std::make_unique<Process>(configs[i % 2], IVYGW, rlim_t{0}); });
+  }
+  for (std::thread& start : starting) start.join();
+  for (auto& gateway : gateways) {
+    ASSERT_NE(gateway->port, 0) << gateway->line;
+    auto limit = Clock::now() + std::chrono::seconds(kLimitS);
+    auto probe = gateway->Connect();
+    int status = 0;
+    while (status != 200 && Clock::now() < limit) {
+      status = Ask(*probe, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status();
+    }
+    EXPECT_EQ(status, 200);
+  }
+  for (auto& gateway : gateways) gateway->Signal(SIGTERM);  // each takes half a second to end
+}
+
 // A request that comes late after SIGTERM, on a connection that stayed open, is to have its answer before
 // SIGKILL, however long its own time is.
 TEST(Gateway, AnswersWhatComesLateAfterSigtermBeforeSigkill) {
