Begin thornspoke-lab: the fleet in simulated time, and the proof for cold backends

Why: whether cold backends fall under the sum of all gateways, and whether the counter bears all of them, cannot be seen in one gateway. The lab hosts the real decision module, hundreds of it, before hollow backends, clients, counter and discovery. Tests: a Poisson stream's reuse of a connection, the counter's line, the histogram and the fit against closed forms.

--- /dev/null
+++ b/lab/fleet.cpp
@@ -0,0 +1,563 @@
+#include "fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <deque>
+#include <unordered_map>
+
+#include "backend.h"
+#include "clock.h"
+#include "random.h"
+
+namespace thornspoke::lab {
+namespace {
+
+using micadock::Action;
+using micadock::ActionKind;
+using micadock::Result;
+
+constexpr double kStartS = 1000;               // the clock's begin
+constexpr double kAimS = 1.2, kDeadlineS = 4;  // of every class
+constexpr double kCountTimeoutS = 0.03;
+// The real gateway waits longer for a call than the settings' time-out, since a late answer is of use.
+constexpr double kCountPatienceS = 3 * kCountTimeoutS;
+constexpr double kEntryBytes = 157;  // of one backend in discovery's list, as measured by `control`
+constexpr int kRetries = 2;          // of a client, after its first try
+
+struct Tenant {
+  int plan = 0, first = 0, spread = 1;
+  double rate = 0;                  // tries a second
+  double store = 0, stored_at = 0;  // the quota as it truly is
+};
+
+struct Try {
+  int tenant = 0, cls = 0, retry = 0;
+  double units = 1, work_s = 0, arrived = 0, began = 0, patience_s = 0;
+  bool sent = false, answered = false;
+  struct Attempt {
+    int backend = 0;
+    bool out = false;
+  };
+  std::vector<Attempt> attempts;
+};
+
+struct Idle {
+  double since;
+};
+
+class Fleet {
+ public:
+  explicit Fleet(const FleetSpec& spec)
+      : spec_(spec), random_(spec.seed), queue_(kStartS), counter_(spec.counter) {
+    MakeTenants();
+    MakeBackends();
+    MakeGateways();
+  }
+
+  FleetCount Run() {
+    double quiet = spec_.quiet_s;
+    NextArrival();
+    if (spec_.counter_silent_at_s >= 0) {
+      queue_.At(kStartS + quiet + spec_.counter_silent_at_s, [this] { counter_.set_silent(true); });
+      queue_.At(kStartS + quiet + spec_.counter_silent_at_s + spec_.counter_silent_s,
+                [this] { counter_.set_silent(false); });
+    }
+    queue_.RunUntil(End());
+    queue_.RunUntil(End() + kDeadlineS);
+    Conclude();
+    return std::move(count_);
+  }
+
+ private:
+  struct Gateway {
+    int number = 0;
+    std::unique_ptr<micadock::Balancer> balancer;
+    std::unordered_map<uint32_t, Try> tries;
+    std::unordered_map<int, std::vector<double>> idle;  // since when, by backend
+    std::unordered_map<int, double> told_start;         // by backend, when it was told of its last start
+    uint32_t last = 0;
+  };
+  struct Sent {
+    double at, work;  // in requests of mean work
+    bool told;
+  };
+
+  double End() const { return kStartS + spec_.quiet_s + spec_.seconds; }
+  bool Measured() const { return queue_.now() >= kStartS + spec_.quiet_s; }
+  double Load() const { return Measured() ? 1 : 0.1; }
+
+  const micadock::PlanSettings& Plan(const Tenant& t) const {
+    return settings_.plans[static_cast<size_t>(t.plan)];
+  }
+  double ClassWork(int cls) const {
+    return spec_.classes < 2 ? spec_.work_s
+                             : spec_.work_s * (0.5 + static_cast<double>(cls) / (spec_.classes - 1));
+  }
+  double MeanUnits() const { return (1 + spec_.most_units) / 2; }
+
+  void MakeTenants() {
+    settings_ = FleetSettings(spec_, 0);
+    double total = 0, inside = 0;
+    for (int i = 0; i < spec_.tenants; ++i) {
+      Tenant t;
+      t.plan = random_.Uniform() < 0.87 ? 0 : 1;  // so that each makes about half of the use
+      double share = random_.Between(spec_.spread_low, spec_.spread_high);
+      t.spread = std::clamp(static_cast<int>(std::lround(share * spec_.gateways)),
+                            std::min(2, spec_.gateways), spec_.gateways);
+      t.first = random_.Below(spec_.gateways);
+      double kind = random_.Uniform();
+      double use = kind < 0.09   ? random_.Between(1.6, 4.6)   // asks far more for long
+                   : kind < 0.25 ? random_.Between(0.8, 0.98)  // uses nearly all
+                                 : random_.Between(0.15, 0.5);
+      const auto& plan = Plan(t);
+      t.rate = use * plan.rate / MeanUnits();
+      t.store = plan.burst;
+      t.stored_at = kStartS;
+      total += t.rate;
+      inside += std::min(1.0, use) * plan.rate / MeanUnits();
+      tenants_.push_back(t);
+    }
+    double scale = spec_.requests_per_s / std::max(1e-9, total);
+    // The plans' figures are scaled to the load, as the settings of a real site state them.
+    for (auto& plan : settings_.plans) {
+      if (!spec_.quotas) break;
+      plan.rate *= scale;
+      plan.burst = std::max(plan.burst * scale, 2 * spec_.most_units);
+    }
+    double sum = 0;
+    for (Tenant& t : tenants_) {
+      t.rate *= scale;
+      t.store = Plan(t).burst;
+      cumulative_.push_back(sum += t.rate);
+    }
+    inside_per_s_ = inside * scale;
+  }
+
+  void MakeBackends() {
+    // Work is scaled so that use inside the quotas comes to its share of what the backends can do.
+    double capacity = static_cast<double>(spec_.backends) * spec_.cores;
+    work_scale_ = spec_.inside_share > 0 && spec_.quotas
+                      ? spec_.inside_share * capacity / std::max(1e-9, inside_per_s_ * spec_.work_s)
+                  : spec_.inside_share > 0
+                      ? spec_.inside_share * capacity / std::max(1e-9, spec_.requests_per_s * spec_.work_s)
+                      : 1;
+    for (int i = 0; i < spec_.backends; ++i) {
+      backends_.push_back(NewBackend(0));
+      entries_.push_back(Entry(i, 0));
+    }
+  }
+  HollowBackend NewBackend(double started) const {
+    BackendSpec b;
+    b.cores = spec_.cores;
+    b.cold_from = spec_.cold_from;
+    b.warm_after_s = spec_.warm_after_s;
+    return HollowBackend(b, started);
+  }
+  micadock::Backend Entry(int i, double started) const {
+    micadock::Backend entry;
+    entry.id = static_cast<uint32_t>(i) + 1;
+    entry.zone = i % spec_.zones;
+    entry.cell = i / 8;
+    entry.weight = 1;
+    entry.started_s = started;
+    return entry;
+  }
+
+  void MakeGateways() {
+    gateways_.resize(static_cast<size_t>(spec_.gateways));
+    for (int g = 0; g < spec_.gateways; ++g) {
+      Gateway& gateway = gateways_[static_cast<size_t>(g)];
+      gateway.number = g;
+      micadock::Settings settings = settings_;
+      settings.gateway = g;
+      settings.zone = g % spec_.zones;
+      gateway.balancer = std::make_unique<micadock::Balancer>(
+          settings, Mix(spec_.seed * 7919 + static_cast<uint64_t>(g)), kStartS, &actions_);
+      actions_.clear();
+      Tell(gateway,
+           [&](auto& b, double now, auto* out) { b.OnList(now, micadock::ListKind::kFull, entries_, out); });
+      count_.list_bytes += kEntryBytes * static_cast<double>(entries_.size());
+    }
+    int replaced = static_cast<int>(std::lround(spec_.replaced_share * spec_.backends));
+    for (int i = 0; i < replaced; ++i) {
+      for (int k = 0; k < spec_.restarts; ++k) {
+        double at = kStartS + spec_.quiet_s + spec_.replaced_at_s +
+                    spec_.replaced_within_s * (random_.Uniform() + k) / spec_.restarts;
+        queue_.At(at, [this, i] { Restart(i); });
+      }
+    }
+  }
+
+  // Starts cold under its own name. Connections to it are gone, and gateways learn of it with discovery's
+  // lag.
+  void Restart(int backend) {
+    double now = queue_.now();
+    CheckWindows(backend);
+    backends_[static_cast<size_t>(backend)] = NewBackend(now);
+    sent_[backend].clear();
+    for (Gateway& gateway : gateways_) {
+      gateway.idle.erase(backend);
+      bool late = random_.Uniform() < spec_.late_share;
+      double at = now + spec_.lag_s * random_.Uniform() + (late ? spec_.late_s : 0);
+      queue_.At(at, [this, &gateway, backend, now] {
+        gateway.told_start[backend] = now;
+        count_.list_bytes += kEntryBytes;
+        Tell(gateway, [&](auto& b, double at_s, auto* out) {
+          b.OnList(at_s, micadock::ListKind::kDelta, {Entry(backend, now)}, out);
+        });
+      });
+    }
+  }
+
+  void NextArrival() {
+    double gap = random_.Exponential(1 / (spec_.requests_per_s * Load()));
+    if (queue_.now() + gap >= End()) return;
+    queue_.At(queue_.now() + gap, [this] {
+      Arrive();
+      NextArrival();
+    });
+  }
+
+  void Arrive() {
+    double at = random_.Uniform() * cumulative_.back();
+    int tenant =
+        static_cast<int>(std::lower_bound(cumulative_.begin(), cumulative_.end(), at) - cumulative_.begin());
+    Try t;
+    t.tenant = std::min(tenant, spec_.tenants - 1);
+    t.cls = random_.Below(spec_.classes);
+    t.units = 1 + std::floor(random_.Uniform() * spec_.most_units);
+    // Worth and work both grow with the units, as in a site whose units are the request's size.
+    t.work_s = ClassWork(t.cls) * work_scale_ * t.units / MeanUnits() * random_.Between(0.7, 1.3);
+    t.began = queue_.now();
+    t.patience_s = kDeadlineS * random_.Between(0.5, 1);
+    if (Measured()) {
+      ++count_.first_tries;
+      if (Inside(tenants_[static_cast<size_t>(t.tenant)], t.units)) {
+        ++count_.inside_tries;
+      }
+    }
+    Enter(std::move(t));
+  }
+
+  // Whether the quota, as it truly is, has room for so many units now.
+  double Store(Tenant& t) {
+    const auto& plan = Plan(t);
+    t.store = std::min(plan.burst, t.store + plan.rate * (queue_.now() - t.stored_at));
+    t.stored_at = queue_.now();
+    return t.store;
+  }
+  bool Inside(Tenant& t, double units) { return !spec_.quotas || Store(t) >= units; }
+
+  Gateway& Entrance(int tenant) {
+    const Tenant& t = tenants_[static_cast<size_t>(tenant)];
+    // The busiest change from time to time: the order is turned by a draw of the tenant and the period.
+    uint64_t period = static_cast<uint64_t>(queue_.now() / spec_.shift_s);
+    int turn = static_cast<int>(Mix(static_cast<uint64_t>(tenant) * 1000003 + period) %
+                                static_cast<uint64_t>(t.spread));
+    int rank =
+        std::min(t.spread - 1, static_cast<int>(t.spread * std::pow(random_.Uniform(), 1 + spec_.skew)));
+    return gateways_[static_cast<size_t>((t.first + (rank + turn) % t.spread) % spec_.gateways)];
+  }
+
+  void Enter(Try t) {
+    const Tenant& tenant = tenants_[static_cast<size_t>(t.tenant)];
+    Gateway& gateway = Entrance(t.tenant);
+    t.arrived = queue_.now();
+    if (Measured()) ++count_.tries;
+    micadock::Request request;
+    request.id = ++gateway.last;
+    request.cls = t.cls;
+    request.plan = tenant.plan;
+    request.customer = static_cast<uint64_t>(t.tenant) + 1;
+    request.left_s = t.patience_s - (t.arrived - t.began);
+    request.units = t.units;
+    request.entries = tenant.spread;
+    gateway.tries[request.id] = std::move(t);
+    Tell(gateway, [&](auto& b, double now, auto* out) { b.OnRequest(now, request, out); });
+    auto it = gateway.tries.find(request.id);
+    if (it != gateway.tries.end() && !it->second.answered && !it->second.sent && Measured()) ++count_.held;
+  }
+
+  template <typename Call>
+  void Tell(Gateway& gateway, Call call) {
+    micadock::Actions actions;
+    auto begun = std::chrono::steady_clock::now();
+    call(*gateway.balancer, queue_.now(), &actions);
+    decision_s_ += std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+    for (const Action& action : actions) Act(gateway, action);
+  }
+
+  void Act(Gateway& gateway, const Action& action) {
+    double now = queue_.now();
+    switch (action.kind) {
+      case ActionKind::kSend: return Send(gateway, action);
+      case ActionKind::kCancel: return;  // work that has begun runs on; the outcome comes as it would
+      case ActionKind::kRefuse: return Answer(gateway, action.request, true, action.seconds);
+      case ActionKind::kFail: return Answer(gateway, action.request, false, 0);
+      case ActionKind::kTimer:
+        queue_.At(now + std::max(action.seconds, spec_.resolution_s), [this, &gateway, tag = action.tag] {
+          Tell(gateway, [&](auto& b, double at, auto* out) { b.OnTimer(at, tag, out); });
+        });
+        return;
+      case ActionKind::kCount: return Count(gateway, action);
+      case ActionKind::kLog:
+      case ActionKind::kSubscribe: return;
+    }
+  }
+
+  void Send(Gateway& gateway, const Action& action) {
+    auto it = gateway.tries.find(action.request);
+    if (it == gateway.tries.end()) return;
+    Try& t = it->second;
+    Tenant& tenant = tenants_[static_cast<size_t>(t.tenant)];
+    double now = queue_.now();
+    int backend = static_cast<int>(action.backend) - 1, attempt = static_cast<int>(t.attempts.size());
+    HollowBackend& b = backends_[static_cast<size_t>(backend)];
+    if (!t.sent) {
+      t.sent = true;
+      bool inside = Inside(tenant, t.units);
+      if (inside && spec_.quotas) tenant.store -= t.units;
+      if (Measured()) {
+        ++count_.sent;
+        count_.added_s.Add(now - t.arrived);
+        count_.units_sent += t.units;
+        if (!inside) count_.units_beyond += t.units;
+      }
+    }
+    t.attempts.push_back({backend, true});
+    // A connection that rests, the one used last, or a new one.
+    std::vector<double>& idle = gateway.idle[backend];
+    std::erase_if(idle, [&](double since) {
+      bool over = now - since > spec_.conn_idle_s;
+      if (over) b.Connected(-1);
+      return over;
+    });
+    double way = spec_.backend_way_s;
+    if (Measured()) ++count_.attempts;
+    if (!idle.empty()) {
+      idle.pop_back();
+      if (Measured()) ++count_.reused;
+    } else {
+      way += spec_.connect_s;
+      b.Connected(1);
+      if (Measured()) ++count_.connections;
+    }
+    if (b.started_s() > 0) {
+      auto told = gateway.told_start.find(backend);
+      double mean = spec_.work_s * work_scale_;
+      sent_[backend].push_back(
+          {now + way, t.work_s / mean, told != gateway.told_start.end() && told->second == b.started_s()});
+    }
+    double done = b.Serve(now + way, t.work_s);
+    double patience = std::max(action.seconds, spec_.resolution_s);
+    Result result = done < 0 ? Result::kFull : Result::kOk;
+    double back = done < 0 ? now + 2 * way : done + spec_.backend_way_s;
+    if (back > now + patience) {
+      back = now + patience;
+      result = Result::kTimeout;
+    }
+    queue_.At(back, [this, &gateway, id = action.request, attempt, backend, result, now] {
+      End(gateway, id, attempt, backend, result, now);
+    });
+  }
+
+  void End(Gateway& gateway, uint32_t id, int attempt, int backend, Result result, double sent_at) {
+    double now = queue_.now();
+    gateway.idle[backend].push_back(now);
+    auto it = gateway.tries.find(id);
+    if (it == gateway.tries.end()) return;
+    Try& t = it->second;
+    t.attempts[static_cast<size_t>(attempt)].out = false;
+    if (result == Result::kOk && !t.answered) {
+      t.answered = true;
+      Served(t);
+    }
+    micadock::Outcome outcome;
+    outcome.request = id;
+    outcome.attempt = attempt;
+    outcome.took_s = now - sent_at;
+    outcome.result = result;
+    outcome.finished = t.answered;
+    outcome.backend = static_cast<uint32_t>(backend) + 1;
+    Tell(gateway, [&](auto& b, double at, auto* out) { b.OnOutcome(at, outcome, out); });
+    Forget(gateway, id);
+  }
+
+  void Served(const Try& t) {
+    double took = queue_.now() - t.began;
+    if (t.began < kStartS + spec_.quiet_s) return;
+    ++count_.served;
+    count_.served_s.Add(took);
+    if (took <= kAimS) {
+      ++count_.in_time;
+      count_.worth_in_time += t.units;
+    }
+  }
+
+  void Answer(Gateway& gateway, uint32_t id, bool refused, double stay_away) {
+    auto it = gateway.tries.find(id);
+    if (it == gateway.tries.end() || it->second.answered) return;
+    Try& t = it->second;
+    t.answered = true;
+    Tenant& tenant = tenants_[static_cast<size_t>(t.tenant)];
+    if (Measured()) {
+      ++(refused ? count_.refused : count_.failed);
+      count_.refused_with_room += refused && !t.sent && Store(tenant) >= Plan(tenant).burst / 2;
+    }
+    if (t.retry < kRetries) {
+      Try again;
+      again.tenant = t.tenant;
+      again.cls = t.cls;
+      again.retry = t.retry + 1;
+      again.units = t.units;
+      again.work_s = t.work_s;
+      again.began = t.began;
+      again.patience_s = t.patience_s;
+      double wait = std::max(stay_away, 0.05 + 0.3 * random_.Uniform());
+      if (queue_.now() + wait - t.began < t.patience_s - 0.05) {
+        queue_.At(queue_.now() + wait, [this, again]() mutable { Enter(std::move(again)); });
+      }
+    }
+    Forget(gateway, id);
+  }
+
+  void Forget(Gateway& gateway, uint32_t id) {
+    auto it = gateway.tries.find(id);
+    if (it == gateway.tries.end() || !it->second.answered) return;
+    for (const auto& attempt : it->second.attempts) {
+      if (attempt.out) return;
+    }
+    gateway.tries.erase(it);
+  }
+
+  void Count(Gateway& gateway, const Action& action) {
+    double now = queue_.now();
+    if (Measured()) ++count_.calls;
+    auto answer = counter_.Call(now + spec_.counter_way_s, action.tag, action.amount, action.seconds);
+    double back = answer.at_s < 0 ? now + kCountPatienceS : answer.at_s + spec_.counter_way_s;
+    Result result = answer.busy ? Result::kFull : Result::kOk;
+    if (answer.at_s < 0 || back - now >= kCountPatienceS) {
+      back = now + kCountPatienceS;
+      result = Result::kTimeout;
+    }
+    if (Measured()) {
+      count_.calls_busy += answer.busy;
+      count_.calls_late += back - now > kCountTimeoutS;
+    }
+    queue_.At(back, [this, &gateway, name = action.tag, total = answer.total, result] {
+      Tell(gateway, [&](auto& b, double at, auto* out) { b.OnCount(at, {name, total, result}, out); });
+    });
+  }
+
+  // The worst window that ended with one of the requests sent to a cold backend.
+  void CheckWindows(int backend) {
+    const HollowBackend& b = backends_[static_cast<size_t>(backend)];
+    if (b.started_s() <= 0) return;
+    auto& sent = sent_[backend];
+    std::sort(sent.begin(), sent.end(), [](const Sent& a, const Sent& c) { return a.at < c.at; });
+    double work = 0, told = 0, mean = spec_.work_s * work_scale_;
+    size_t from = 0;
+    for (const Sent& s : sent) {
+      work += s.work;
+      told += s.told ? s.work : 0;
+      while (sent[from].at <= s.at - spec_.tip_after_s) {
+        work -= sent[from].work;
+        told -= sent[from].told ? sent[from].work : 0;
+        ++from;
+      }
+      // Its capacity at the window's begin, the least it has in it.
+      double fraction = b.Fraction(std::max(b.started_s(), s.at - spec_.tip_after_s));
+      if (s.at > b.started_s() + spec_.warm_after_s) break;
+      double allowed = spec_.tip_multiple * fraction * b.cores() / mean * spec_.tip_after_s;
+      double bound = allowed + 2 * std::sqrt(allowed) + 2;
+      ColdWindow& worst = count_.cold;
+      worst.most_told = std::max(worst.most_told, told / bound);
+      if (work / bound > worst.ratio) worst = {work / bound, told / bound, worst.most_told, work, allowed};
+    }
+  }
+
+  void Conclude() {
+    for (int i = 0; i < spec_.backends; ++i) CheckWindows(i);
+    double most = 0, sum = 0, held = 0, held_most = 0;
+    for (const HollowBackend& b : backends_) {
+      if (b.started_s() > 0) continue;
+      most = std::max(most, b.work_s());
+      sum += b.work_s();
+      held += b.connections();
+      held_most = std::max<double>(held_most, b.most_connections());
+    }
+    double warm = static_cast<double>(
+        std::count_if(backends_.begin(), backends_.end(), [](const auto& b) { return b.started_s() <= 0; }));
+    count_.imbalance = sum > 0 ? most / (sum / warm) : 0;
+    count_.connections_mean = warm > 0 ? held / warm : 0;
+    count_.connections_most = held_most;
+    count_.decision_us = 1e6 * decision_s_ / std::max<double>(1, static_cast<double>(count_.tries));
+    count_.ended_at_s = spec_.quiet_s + spec_.seconds;
+  }
+
+  const FleetSpec spec_;
+  Random random_;
+  EventQueue queue_;
+  Counter counter_;
+  micadock::Settings settings_;
+  micadock::Actions actions_;
+  std::vector<Tenant> tenants_;
+  std::vector<double> cumulative_;
+  double inside_per_s_ = 0, work_scale_ = 1, decision_s_ = 0;
+  std::vector<HollowBackend> backends_;
+  std::vector<micadock::Backend> entries_;
+  std::vector<Gateway> gateways_;
+  std::unordered_map<int, std::vector<Sent>> sent_;
+  FleetCount count_;
+};
+
+}  // namespace
+
+micadock::Settings FleetSettings(const FleetSpec& spec, int gateway) {
+  micadock::Settings s;
+  s.gateway = gateway;
+  s.gateways = spec.gateways;
+  s.resolution_s = spec.resolution_s;
+  s.push_discovery = true;
+  s.max_units = spec.most_units;
+  s.may_count = spec.quotas;
+  s.count_timeout_s = kCountTimeoutS;
+  s.count_price = 0.01;
+  s.cross_zone_price = 0.012;
+  s.cancel = true;
+  s.parallel_tries = true;
+  s.retry_after = true;
+  s.max_retry_after_s = 1;
+  s.try_limit = 6;
+  s.connect_timeout_s = 0.25;
+  s.cold_from = spec.cold_from;
+  s.warm_after_s = spec.warm_after_s;
+  s.tip_multiple = spec.tip_multiple;
+  s.tip_after_s = spec.tip_after_s;
+  s.ask_within_s = 10;
+  for (int i = 0; i < spec.classes; ++i) {
+    micadock::ClassSettings c;
+    c.aim_s = kAimS;
+    c.deadline_s = kDeadlineS;
+    c.window_s = 5;
+    c.worth = 1;
+    c.effect = micadock::Effect::kFree;
+    s.classes.push_back(c);
+  }
+  double rates[] = {spec.basic_rate, spec.pro_rate}, bursts[] = {spec.basic_burst_s, spec.pro_burst_s},
+         prices[] = {1.3, 1.8}, costs[] = {0.5, 0.8};
+  for (int i = 0; i < 2; ++i) {
+    micadock::PlanSettings p;
+    p.rate = spec.quotas ? rates[i] : 1e9;
+    p.burst = spec.quotas ? rates[i] * bursts[i] : 1e9;
+    p.over_cost = costs[i];
+    p.price = prices[i];
+    s.plans.push_back(p);
+  }
+  return s;
+}
+
+FleetCount RunFleet(const FleetSpec& spec) { return Fleet(spec).Run(); }
+
+}  // namespace thornspoke::lab
--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,128 @@
+// thornspoke-lab: what a fleet of gateways does, in simulated time and on loopback.
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <thread>
+
+#include "cold.h"
+#include "fleet.h"
+#include "report.h"
+
+namespace {
+
+using thornspoke::lab::Figure;
+using thornspoke::lab::FleetCount;
+using thornspoke::lab::FleetSpec;
+using thornspoke::lab::Report;
+
+// Prints the table, and writes the JSON where a file is named. False where that can't be.
+bool Show(const Report& report, const std::string& json) {
+  std::fputs(report.Table().c_str(), stdout);
+  if (json.empty()) return true;
+  std::ofstream out(json);
+  out << report.Json();
+  if (out.flush()) return true;
+  std::fprintf(stderr, "thornspoke-lab: cannot write %s\n", json.c_str());
+  return false;
+}
+
+std::string Share(double part, double whole) { return Figure(whole > 0 ? 100 * part / whole : 0, 1) + "%"; }
+
+void AddRow(Report* report, const FleetSpec& spec, const FleetCount& c) {
+  double tries = static_cast<double>(c.tries), firsts = static_cast<double>(c.first_tries);
+  report->Row({std::to_string(spec.gateways) + " x " + std::to_string(spec.backends),
+               std::to_string(spec.seed), std::to_string(c.first_tries),
+               Share(static_cast<double>(c.in_time), firsts), Share(static_cast<double>(c.held), tries),
+               Figure(1e3 * c.added_s.Percentile(0.5), 2), Figure(1e3 * c.added_s.Percentile(0.99), 1),
+               Share(c.added_s.ShareUpTo(0.0075), 1), Figure(static_cast<double>(c.calls) / spec.seconds, 0),
+               Share(static_cast<double>(c.calls_late), static_cast<double>(c.calls)),
+               Share(static_cast<double>(c.calls_busy), static_cast<double>(c.calls)),
+               Share(c.units_beyond, c.units_sent), Share(static_cast<double>(c.refused_with_room), tries),
+               Share(static_cast<double>(c.reused), static_cast<double>(c.attempts)),
+               Figure(c.connections_mean, 1), Figure(c.connections_most, 0), Figure(c.imbalance, 2),
+               Figure(c.list_bytes / spec.gateways / spec.seconds / 1e3, 2), Figure(c.decision_us, 2)});
+}
+
+Report FleetReport(const std::string& title) {
+  return Report(
+      title, {"gateways x backends", "seed", "first tries", "in time", "held", "added p50 ms", "added p99 ms",
+              "within 7.5 ms", "calls/s", "late", "busy", "beyond quota", "refused with room", "reuse",
+              "conns at a backend", "most", "imbalance", "list kB/s a gateway", "module us a try"});
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"thornspoke-lab: what a fleet of gateways does, in simulated time and on loopback"};
+  app.require_subcommand(1);
+  std::string json;
+  app.add_option("--json", json, "also write the report to this file, as JSON");
+
+  FleetSpec spec;
+  int seeds = 1;
+  auto* fleet = app.add_subcommand("fleet", "real modules in simulated time before hollow backends");
+  fleet->add_option("--gateways", spec.gateways)->check(CLI::Range(1, 2000))->capture_default_str();
+  fleet->add_option("--backends", spec.backends)->check(CLI::Range(1, 10000))->capture_default_str();
+  fleet->add_option("--tenants", spec.tenants)->check(CLI::Range(1, 100000))->capture_default_str();
+  fleet->add_option("--zones", spec.zones)->check(CLI::Range(1, 64))->capture_default_str();
+  fleet->add_option("--classes", spec.classes)->check(CLI::Range(1, 64))->capture_default_str();
+  fleet->add_option("--rate", spec.requests_per_s, "first tries a second, of all clients")
+      ->check(CLI::PositiveNumber)
+      ->capture_default_str();
+  fleet->add_option("--seconds", spec.seconds)->check(CLI::Range(0.1, 600.0))->capture_default_str();
+  fleet->add_option("--spread-low", spec.spread_low, "least share of the gateways a tenant comes through")
+      ->check(CLI::Range(0.0, 1.0))
+      ->capture_default_str();
+  fleet->add_option("--spread-high", spec.spread_high)->check(CLI::Range(0.0, 1.0))->capture_default_str();
+  fleet->add_option("--counter-rate", spec.counter.calls_per_s, "calls a second that the counter bears")
+      ->check(CLI::PositiveNumber)
+      ->capture_default_str();
+  fleet->add_option("--replaced", spec.replaced_share, "share of the backends that start anew")
+      ->check(CLI::Range(0.0, 1.0))
+      ->capture_default_str();
+  fleet->add_option("--silent-at", spec.counter_silent_at_s, "when the counter falls silent; below 0: never")
+      ->capture_default_str();
+  fleet->add_option("--silent-for", spec.counter_silent_s)->capture_default_str();
+  fleet->add_option("--seed", spec.seed)->capture_default_str();
+  fleet->add_option("--seeds", seeds, "so many seeds from the first")
+      ->check(CLI::Range(1, 1000))
+      ->capture_default_str();
+
+  int cold_seeds = 200, threads = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
+  std::string only;
+  auto* cold = app.add_subcommand("cold", "work sent to cold backends by all gateways, over the bound");
+  cold->add_option("--seeds", cold_seeds, "of each point")
+      ->check(CLI::Range(1, 10000))
+      ->capture_default_str();
+  cold->add_option("--threads", threads)->check(CLI::Range(1, 64))->capture_default_str();
+  cold->add_option("--only", only, "points whose names hold this text");
+
+  CLI11_PARSE(app, argc, argv);
+
+  if (*fleet) {
+    Report report = FleetReport("The fleet in simulated time");
+    for (int i = 0; i < seeds; ++i) {
+      FleetCount count = thornspoke::lab::RunFleet(spec);
+      AddRow(&report, spec, count);
+      ++spec.seed;
+    }
+    return Show(report, json) ? 0 : 1;
+  }
+  if (*cold) {
+    auto points = thornspoke::lab::ColdPoints();
+    std::erase_if(points, [&](const auto& point) { return point.name.find(only) == std::string::npos; });
+    Report report("Work sent to a cold backend in its worst window, over N + 2 sqrt(N) + 2",
+                  {"point", "seeds", "worst", "of it told", "most told in any", "mean of the seeds' worst",
+                   "N there", "seed", "broken"});
+    int broken = 0;
+    for (const auto& r : thornspoke::lab::RunCold(points, cold_seeds, threads)) {
+      report.Row({r.name, std::to_string(r.seeds), Figure(r.worst.ratio), Figure(r.worst.told_ratio),
+                  Figure(r.most_told), Figure(r.mean_ratio), Figure(r.worst.allowed, 1),
+                  std::to_string(r.worst_seed), std::to_string(r.broken)});
+      broken += r.broken;
+    }
+    return Show(report, json) && broken == 0 ? 0 : 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,91 @@
+// The lab's arithmetic against closed forms, and the proofs that it plays in a form short enough for each
+// run.
+#include <gtest/gtest.h>
+
+#include <cmath>
+
+#include "cold.h"
+#include "counter.h"
+#include "fleet.h"
+#include "histogram.h"
+#include "random.h"
+#include "report.h"
+
+namespace thornspoke::lab {
+namespace {
+
+TEST(Histogram, PercentilesOfAnExponentialAreThoseOfItsFormula) {
+  Histogram h;
+  Random random(3);
+  for (int i = 0; i < 200000; ++i) h.Add(random.Exponential(0.02));
+  for (double p : {0.5, 0.9, 0.99}) EXPECT_NEAR(h.Percentile(p) / (-0.02 * std::log(1 - p)), 1, 0.04) << p;
+  EXPECT_NEAR(h.ShareUpTo(0.02), 1 - std::exp(-1), 0.01);
+  EXPECT_NEAR(h.Mean(), 0.02, 0.0005);
+}
+
+TEST(Counter, ServesInTurnAtItsRateAndTurnsAwayPastItsLine) {
+  CounterSpec spec;
+  spec.calls_per_s = 100;
+  spec.parts = 1;
+  spec.call_s = 0;
+  spec.most_wait_s = 0.5;
+  Counter counter(spec);
+  int busy = 0;
+  for (int i = 0; i < 100; ++i) {  // all at once
+    auto answer = counter.Call(10, 7, 1, 5);
+    busy += answer.busy;
+    if (answer.busy) continue;
+    EXPECT_NEAR(answer.at_s, 10 + i / 100.0, 1e-9);
+    EXPECT_EQ(answer.total, i + 1);
+  }
+  EXPECT_EQ(busy, 100 - 51);
+  EXPECT_EQ(counter.Call(16, 7, 0, 5).total, 0) << "forgotten after its life";
+}
+
+TEST(Report, FitsALine) {
+  Line line = Fit({1, 2, 5}, {3, 5, 11});
+  EXPECT_NEAR(line.slope, 2, 1e-9);
+  EXPECT_NEAR(line.at, 1, 1e-9);
+  EXPECT_NEAR(line.error, 0, 1e-9);
+}
+
+// One gateway sends a Poisson stream to one backend: a request finds the connection open unless the gap
+// before it was longer than the idle time.
+TEST(Fleet, ReusesConnectionsAsAPoissonStreamDoes) {
+  FleetSpec spec;
+  spec.gateways = spec.backends = spec.zones = spec.tenants = 1;
+  spec.quotas = false;
+  spec.inside_share = 0;
+  spec.work_s = 0.001;
+  spec.requests_per_s = 0.1;
+  spec.seconds = 40000;
+  spec.conn_idle_s = 15;
+  FleetCount count = RunFleet(spec);
+  double reused = static_cast<double>(count.reused) / static_cast<double>(count.attempts);
+  EXPECT_NEAR(reused, 1 - std::exp(-0.1 * 15), 0.02);
+  EXPECT_NEAR(static_cast<double>(count.first_tries), 4000, 4 * std::sqrt(4000));
+  EXPECT_EQ(count.served, count.first_tries);
+}
+
+TEST(Fleet, TheSameSeedGivesTheSameDay) {
+  FleetSpec spec;
+  spec.seconds = 5;
+  FleetCount one = RunFleet(spec), two = RunFleet(spec);
+  EXPECT_EQ(one.sent, two.sent);
+  EXPECT_EQ(one.calls, two.calls);
+  EXPECT_EQ(one.units_beyond, two.units_beyond);
+  spec.seed = 2;
+  EXPECT_NE(RunFleet(spec).units_sent, one.units_sent);
+}
+
+// Two seeds of each corner; `thornspoke-lab cold` plays hundreds.
+TEST(Cold, NoBackendIsPushedOverByTheSumOfAllGateways) {
+  for (const ColdResult& result : RunCold(ColdPoints(), 2, 2)) {
+    EXPECT_EQ(result.broken, 0) << result.name;
+    EXPECT_LT(result.most_told, 1) << result.name;
+    EXPECT_GT(result.worst.sent, 0) << result.name << ": the backend was sent something";
+  }
+}
+
+}  // namespace
+}  // namespace thornspoke::lab
