Tell a backend what is left when the attempt goes out, not when its connection was asked for

Ruled out: the deadline itself, which is the client's less a margin, and hedges, which use the same line. Change: the pool asks for the message as it is about to be written, with what is left then. It also no longer holds a second copy of a body while a connection is under way. Test: TellsABackendWhatIsLeftWhenItsConnectionHasComeUp; the connection is kept back for 300 ms.

--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -40,16 +40,15 @@
 
   const tcp::endpoint& address() const { return address_; }
   // From its last byte on: it may have run.
-  bool written() const { return busy_ && sent_ == size_; }
+  bool written() const { return busy_ && size_ > 0 && sent_ == size_; }
   bool Usable() { return open_ && !busy_ && !Stale(socket_); }
   bool Settled() const { return Clock::now() >= idle_since_ + pool_->settle_; }
 
-  void Begin(uint64_t attempt, std::string message, double patience_s, Done done, Wanted wanted) {
+  void Begin(uint64_t attempt, Compose compose, double patience_s, Done done, Wanted wanted) {
     busy_ = true;
     attempt_ = attempt;
-    message_ = std::move(message);
-    sent_ = 0;
-    size_ = message_.size();
+    compose_ = std::move(compose);
+    sent_ = size_ = 0;
     done_ = std::move(done);
     wanted_ = std::move(wanted);
     began_ = Clock::now();
@@ -131,6 +130,9 @@
 
   void Write() {
     if (!reading_) Read();
+    message_ = compose_(std::chrono::duration<double>(give_up_ - Clock::now()).count());
+    compose_ = nullptr;
+    size_ = message_.size();
     uint64_t mine = attempt_;
     auto written = [self = shared_from_this(), this, mine](error_code error) {
       if (closed_ || !busy_ || attempt_ != mine) return;
@@ -244,6 +246,7 @@
   boost::beast::flat_buffer buffer_{kMaxBody + kMaxHeader};
   std::optional<http::response_parser<http::string_body>> parser_;
   std::optional<std::list<Connection*>::iterator> idle_at_;
+  Compose compose_;  // until it is written
   std::string message_;
   Done done_;
   Wanted wanted_;
@@ -309,8 +312,7 @@
   return true;
 }
 
-uint64_t BackendPool::Send(uint32_t backend, std::string message, double patience_s, Done done,
-                           Wanted wanted) {
+uint64_t BackendPool::Send(uint32_t backend, Compose compose, double patience_s, Done done, Wanted wanted) {
   uint64_t attempt = ++last_attempt_;
   Backend* b = Find(backend);
   bool may = b != nullptr && !(b->draining && Clock::now() >= b->no_send_after);
@@ -340,7 +342,7 @@
     return attempt;
   }
   out_[attempt] = connection;
-  connection->Begin(attempt, std::move(message), patience_s, std::move(done), std::move(wanted));
+  connection->Begin(attempt, std::move(compose), patience_s, std::move(done), std::move(wanted));
   return attempt;
 }
 
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -31,6 +31,8 @@
  public:
   using Done = std::function<void(AttemptEnd)>;
   using Wanted = std::function<bool()>;
+  // The message, made as it is about to be written, so that it tells what is left of the patience then.
+  using Compose = std::function<std::string(double left_s)>;
   // s after an answer in which its connection takes no further request. A second answer may come some
   // milliseconds behind the first, and would pass for that to the next request.
   static constexpr double kSettleS = 0.01;
@@ -44,13 +46,12 @@
   void Drain(uint32_t backend, Clock::time_point told);
   void Remove(uint32_t backend);  // told to be gone: nothing new at all
 
-  // Sends `message` on a kept connection or a new one. `done` runs exactly once, never within this call,
-  // unless Cancel ends the attempt. Returns the attempt's number for Cancel. After each wait, for a
+  // Sends what `compose` gives on a kept connection or a new one. `done` runs exactly once, never within this
+  // call, unless Cancel ends the attempt. Returns the attempt's number for Cancel. After each wait, for a
   // connection or for room in one, `wanted` is asked before a byte goes out; where nobody waits for it any
   // more, the attempt ends as never sent.
   uint64_t Send(
-      uint32_t backend, std::string message, double patience_s, Done done,
-      Wanted wanted = [] { return true; });
+      uint32_t backend, Compose compose, double patience_s, Done done, Wanted wanted = [] { return true; });
 
   // Closes the attempt's connection at once. False if it has ended already. `done` is not run.
   bool Cancel(uint64_t attempt, bool* may_have_run);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -309,18 +309,23 @@
     held.attempts.back().out = true;  // until the outcome is told
     return PostEnd(id, attempt, false);
   }
-  std::string message;
-  message.reserve(held.head.size() + held.body.size() + 48);
-  message.append(held.head).append("Request-Timeout-Ms: ");
-  message.append(std::to_string(std::max(1L, std::lround(patience * 1000)))).append("\r\n\r\n");
-  message.append(held.body);
   held.attempts.back().out = true;
   held.attempts.back().number = pool_.Send(
-      backend, std::move(message), patience,
+      backend, [this, id](double left_s) { return BackendMessage(id, left_s); }, patience,
       [this, id, attempt, backend](AttemptEnd end) { OnEnd(id, attempt, backend, std::move(end)); },
       [this, connection = held.connection] { return !server_.Gone(connection); });
 }
 
+std::string Gateway::BackendMessage(uint32_t id, double left_s) const {
+  const Held& held = held_.at(id);  // kept while an attempt of it is out
+  std::string message;
+  message.reserve(held.head.size() + held.body.size() + 48);
+  message.append(held.head).append("Request-Timeout-Ms: ");
+  message.append(std::to_string(std::max(1L, std::lround(left_s * 1000)))).append("\r\n\r\n");
+  message.append(held.body);
+  return message;
+}
+
 void Gateway::CancelAttempt(const Action& action) {
   auto it = held_.find(action.request);
   if (it == held_.end()) return;
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -74,6 +74,7 @@
   void Tell(Call call);
   void Act(micadock::Action& action);
   void SendAttempt(const micadock::Action& action);
+  std::string BackendMessage(uint32_t id, double left_s) const;
   void CancelAttempt(const micadock::Action& action);
   void PostEnd(uint32_t id, int attempt, bool ran);
   void DropUnsent(uint32_t id);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -71,7 +71,9 @@
 struct Pool : Loop {
   explicit Pool(double settle_s = 0) : pool(io, 30, 5, 0.5, 100, settle_s) {}
   uint64_t Send(uint32_t backend, const std::string& text) {
-    return pool.Send(backend, text, 50, [this](ivygw::AttemptEnd end) { ends.push_back(std::move(end)); });
+    return pool.Send(
+        backend, [text](double) { return text; }, 50,
+        [this](ivygw::AttemptEnd end) { ends.push_back(std::move(end)); });
   }
   std::vector<ivygw::AttemptEnd> ends;
   ivygw::BackendPool pool;
@@ -764,6 +766,28 @@
   }
 }
 
+// What an attempt tells its backend is what is left when it goes out, however long its connection took to
+// come up.
+TEST(Gateway, TellsABackendWhatIsLeftWhenItsConnectionHasComeUp) {
+  Listener backend(0);
+  auto filler = Wire::To(backend.port());  // takes the only place in the listener's queue
+  Site site(json::array({Entry("s1", backend.port())}), NoCancel(0, 0));
+  auto client = site.gateway->Connect();
+  client->Write(Request("quote", 1, 60000));
+  auto limit = Clock::now() + std::chrono::seconds(kLimitS);
+  while (!Connecting(backend.port()) && Clock::now() < limit) std::this_thread::yield();
+  auto begun = Clock::now();
+  while (Clock::now() < begun + std::chrono::milliseconds(300)) std::this_thread::yield();  // in vain
+  auto taken = backend.Take();                                                              // makes room
+  std::unique_ptr<Wire> wire = backend.Take();
+  Message request = wire->Read();
+  double told_ms = std::atof(request.Header("Request-Timeout-Ms").c_str());
+  EXPECT_GT(told_ms, 0);
+  EXPECT_LE(told_ms, 60000 - 300);
+  wire->Write(Ok("x"));
+  EXPECT_EQ(client->Read().status(), 200);
+}
+
 // Idle clients hold every descriptor that clients may have while discovery is silent and the counter has
 // gone. When these are back, at other addresses even, their connections come up, new clients are taken and
 // served by a backend that was not known before, and the idle ones make room.
