Let the lab measure one real gateway, its module's cost and the points of the capacity page

Why: the size of two years can't be run here, so its figures have to be worked out from slopes that were measured, and one command has to make them again. Change: `thornspoke-lab control` starts one real gateway before a hollow discovery agent (whole lists, watches, changes at a rate) and reads its time to ready, processor time, memory and bytes; `slopes` runs the module alone at 20 to 6,700 backends, `control` at four sizes and four rates, and `fleet` at five sizes, and prints the page's tables with their fits. `fleet` also tells the value that the users count: worth served in time and inside quotas less the price of what is sent beyond, over what was offered. Times of the module are processor time of its thread.

--- a/lab/clock.h
+++ b/lab/clock.h
@@ -2,6 +2,8 @@
 #ifndef THORNSPOKE_LAB_CLOCK_H_
 #define THORNSPOKE_LAB_CLOCK_H_
 
+#include <time.h>
+
 #include <cstdint>
 #include <functional>
 #include <queue>
@@ -10,6 +12,13 @@
 
 namespace thornspoke::lab {
 
+// s of processor time that this thread has used, which other work on the machine does not add to.
+inline double ProcessorSeconds() {
+  timespec used{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+  return static_cast<double>(used.tv_sec) + 1e-9 * static_cast<double>(used.tv_nsec);
+}
+
 class EventQueue {
  public:
   explicit EventQueue(double start_s) : now_(start_s) {}
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -1,7 +1,6 @@
 #include "fleet.h"
 
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 #include <deque>
 #include <unordered_map>
@@ -27,14 +26,15 @@
 
 struct Tenant {
   int plan = 0, first = 0, spread = 1;
-  double rate = 0;                  // tries a second
-  double store = 0, stored_at = 0;  // the quota as it truly is
+  double rate = 0;                   // tries a second
+  double store = 0, stored_at = 0;   // the quota as it truly is
+  double offer = 0, offered_at = 0;  // the same, had all first tries been let in that it has room for
 };
 
 struct Try {
   int tenant = 0, cls = 0, retry = 0;
   double units = 1, work_s = 0, arrived = 0, began = 0, patience_s = 0;
-  bool sent = false, answered = false;
+  bool sent = false, answered = false, inside = false;
   struct Attempt {
     int backend = 0;
     bool out = false;
@@ -128,7 +128,8 @@
     double sum = 0;
     for (Tenant& t : tenants_) {
       t.rate *= scale;
-      t.store = Plan(t).burst;
+      t.store = t.offer = Plan(t).burst;
+      t.offered_at = kStartS;
       cumulative_.push_back(sum += t.rate);
     }
     inside_per_s_ = inside * scale;
@@ -231,10 +232,17 @@
     t.work_s = ClassWork(t.cls) * work_scale_ * t.units / MeanUnits() * random_.Between(0.7, 1.3);
     t.began = queue_.now();
     t.patience_s = kDeadlineS * random_.Between(0.5, 1);
+    Tenant& of = tenants_[static_cast<size_t>(t.tenant)];
+    const auto& plan = Plan(of);
+    of.offer = std::min(plan.burst, of.offer + plan.rate * (queue_.now() - of.offered_at));
+    of.offered_at = queue_.now();
+    bool offered = of.offer >= t.units;
+    if (offered) of.offer -= t.units;
     if (Measured()) {
       ++count_.first_tries;
-      if (Inside(tenants_[static_cast<size_t>(t.tenant)], t.units)) {
+      if (offered) {
         ++count_.inside_tries;
+        count_.worth_offered += t.units * plan.price;
       }
     }
     Enter(std::move(t));
@@ -282,9 +290,9 @@
   template <typename Call>
   void Tell(Gateway& gateway, Call call) {
     micadock::Actions actions;
-    auto begun = std::chrono::steady_clock::now();
+    double begun = ProcessorSeconds();
     call(*gateway.balancer, queue_.now(), &actions);
-    decision_s_ += std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+    decision_s_ += ProcessorSeconds() - begun;
     for (const Action& action : actions) Act(gateway, action);
   }
 
@@ -316,13 +324,14 @@
     HollowBackend& b = backends_[static_cast<size_t>(backend)];
     if (!t.sent) {
       t.sent = true;
-      bool inside = Inside(tenant, t.units);
+      bool inside = t.inside = Inside(tenant, t.units);
       if (inside && spec_.quotas) tenant.store -= t.units;
       if (Measured()) {
         ++count_.sent;
         count_.added_s.Add(now - t.arrived);
         count_.units_sent += t.units;
         if (!inside) count_.units_beyond += t.units;
+        if (!inside) count_.worth_over += t.units * Plan(tenant).price * Plan(tenant).over_cost;
       }
     }
     t.attempts.push_back({backend, true});
@@ -391,7 +400,7 @@
     count_.served_s.Add(took);
     if (took <= kAimS) {
       ++count_.in_time;
-      count_.worth_in_time += t.units;
+      if (t.inside) count_.worth_in_time += t.units * Plan(tenants_[static_cast<size_t>(t.tenant)]).price;
     }
   }
 
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -53,7 +53,11 @@
 struct FleetCount {
   uint64_t first_tries = 0, tries = 0, sent = 0, served = 0, in_time = 0, refused = 0, failed = 0;
   uint64_t refused_with_room = 0, inside_tries = 0;
-  double units_sent = 0, units_beyond = 0, worth_offered = 0, worth_in_time = 0;
+  double units_sent = 0, units_beyond = 0;
+  // Worth is units times the plan's price: of the first tries that one gateway which saw all would let in; of
+  // what was inside its quota when sent and served in time; and the price of what was sent beyond a quota.
+  double worth_offered = 0, worth_in_time = 0, worth_over = 0;
+  double Value() const { return worth_offered > 0 ? (worth_in_time - worth_over) / worth_offered : 0; }
   uint64_t calls = 0, calls_late = 0, calls_busy = 0, held = 0;
   uint64_t connections = 0, reused = 0, attempts = 0;
   double connections_mean = 0, connections_most = 0, imbalance = 0;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -2,12 +2,16 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
+#include <stdexcept>
 #include <thread>
 
 #include "cold.h"
+#include "control.h"
 #include "fleet.h"
 #include "report.h"
+#include "slopes.h"
 
 namespace {
 
@@ -32,23 +36,48 @@
 void AddRow(Report* report, const FleetSpec& spec, const FleetCount& c) {
   double tries = static_cast<double>(c.tries), firsts = static_cast<double>(c.first_tries);
   report->Row({std::to_string(spec.gateways) + " x " + std::to_string(spec.backends),
-               std::to_string(spec.seed), std::to_string(c.first_tries),
-               Share(static_cast<double>(c.in_time), firsts), Share(static_cast<double>(c.held), tries),
-               Figure(1e3 * c.added_s.Percentile(0.5), 2), Figure(1e3 * c.added_s.Percentile(0.99), 1),
-               Share(c.added_s.ShareUpTo(0.0075), 1), Figure(static_cast<double>(c.calls) / spec.seconds, 0),
+               std::to_string(spec.seed),
+               std::to_string(c.first_tries),
+               Share(static_cast<double>(c.in_time), firsts),
+               Figure(c.Value(), 3),
+               Share(static_cast<double>(c.held), tries),
+               Figure(1e3 * c.added_s.Percentile(0.5), 2),
+               Figure(1e3 * c.added_s.Percentile(0.99), 1),
+               Share(c.added_s.ShareUpTo(0.0075), 1),
+               Figure(static_cast<double>(c.calls) / spec.seconds, 0),
                Share(static_cast<double>(c.calls_late), static_cast<double>(c.calls)),
                Share(static_cast<double>(c.calls_busy), static_cast<double>(c.calls)),
-               Share(c.units_beyond, c.units_sent), Share(static_cast<double>(c.refused_with_room), tries),
+               Share(c.units_beyond, c.units_sent),
+               Share(static_cast<double>(c.refused_with_room), tries),
                Share(static_cast<double>(c.reused), static_cast<double>(c.attempts)),
-               Figure(c.connections_mean, 1), Figure(c.connections_most, 0), Figure(c.imbalance, 2),
-               Figure(c.list_bytes / spec.gateways / spec.seconds / 1e3, 2), Figure(c.decision_us, 2)});
+               Figure(c.connections_mean, 1),
+               Figure(c.connections_most, 0),
+               Figure(c.imbalance, 2),
+               Figure(c.list_bytes / spec.gateways / spec.seconds / 1e3, 2),
+               Figure(c.decision_us, 2)});
 }
 
 Report FleetReport(const std::string& title) {
-  return Report(
-      title, {"gateways x backends", "seed", "first tries", "in time", "held", "added p50 ms", "added p99 ms",
-              "within 7.5 ms", "calls/s", "late", "busy", "beyond quota", "refused with room", "reuse",
-              "conns at a backend", "most", "imbalance", "list kB/s a gateway", "module us a try"});
+  return Report(title, {"gateways x backends",
+                        "seed",
+                        "first tries",
+                        "in time",
+                        "value",
+                        "held",
+                        "added p50 ms",
+                        "added p99 ms",
+                        "within 7.5 ms",
+                        "calls/s",
+                        "late",
+                        "busy",
+                        "beyond quota",
+                        "refused with room",
+                        "reuse",
+                        "conns at a backend",
+                        "most",
+                        "imbalance",
+                        "list kB/s a gateway",
+                        "module us a try"});
 }
 
 }  // namespace
@@ -98,8 +127,48 @@
   cold->add_option("--threads", threads)->check(CLI::Range(1, 64))->capture_default_str();
   cold->add_option("--only", only, "points whose names hold this text");
 
+  thornspoke::lab::ControlSpec process;
+  process.gateway = (std::filesystem::path(argv[0]).parent_path() / "ivygw").string();
+  auto* control = app.add_subcommand("control", "one real gateway on loopback before a hollow discovery");
+  control->add_option("--gateway", process.gateway, "the program")->capture_default_str();
+  control->add_option("--backends", process.backends)->check(CLI::Range(1, 10000))->capture_default_str();
+  control->add_option("--changes", process.changes_per_s, "of the list, a second")
+      ->check(CLI::Range(0.0, 1000.0))
+      ->capture_default_str();
+  control->add_option("--seconds", process.seconds)->check(CLI::Range(0.1, 600.0))->capture_default_str();
+
+  bool brief = false;
+  auto* slopes = app.add_subcommand("slopes", "the points behind docs/CAPACITY.md, and its tables");
+  slopes->add_option("--gateway", process.gateway, "the program")->capture_default_str();
+  slopes->add_flag("--brief", brief, "fewer and shorter points");
+
   CLI11_PARSE(app, argc, argv);
 
+  try {
+    if (*control) {
+      auto c = thornspoke::lab::RunControl(process);
+      Report report("One real gateway on loopback",
+                    {"backends", "changes/s", "ready s", "CPU until ready s", "CPU after, % of a core",
+                     "most memory MB", "whole list kB", "kB/s", "calls/s"});
+      report.Row({std::to_string(process.backends), Figure(process.changes_per_s), Figure(c.ready_s, 3),
+                  Figure(c.start_cpu_s, 2), Figure(100 * c.cpu_share), Figure(c.resident_mb, 1),
+                  Figure(c.list_bytes / 1e3, 1), Figure(c.bytes_per_s / 1e3), Figure(c.calls_per_s, 1)});
+      return Show(report, json) ? 0 : 1;
+    }
+    if (*slopes) {
+      bool shown = true;
+      int number = 0;
+      for (const Report& report : thornspoke::lab::RunSlopes(process.gateway, brief)) {
+        shown = Show(report, json.empty() ? "" : json + "." + std::to_string(++number)) && shown;
+        std::fputs("\n", stdout);
+      }
+      return shown ? 0 : 1;
+    }
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "thornspoke-lab: %s\n", error.what());
+    return 1;
+  }
+
   if (*fleet) {
     Report report = FleetReport("The fleet in simulated time");
     for (int i = 0; i < seeds; ++i) {
--- a/lab/report.cpp
+++ b/lab/report.cpp
@@ -41,14 +41,19 @@
   Line line;
   size_t n = std::min(x.size(), y.size());
   if (n == 0) return line;
-  double mean_x = 0, mean_y = 0, above = 0, below = 0;
+  double weights = 0, mean_x = 0, mean_y = 0, above = 0, below = 0;
+  auto weight = [&](size_t i) { return y[i] > 0 ? 1 / (y[i] * y[i]) : 0; };
   for (size_t i = 0; i < n; ++i) {
-    mean_x += x[i] / static_cast<double>(n);
-    mean_y += y[i] / static_cast<double>(n);
+    weights += weight(i);
+    mean_x += weight(i) * x[i];
+    mean_y += weight(i) * y[i];
   }
+  if (weights <= 0) return line;
+  mean_x /= weights;
+  mean_y /= weights;
   for (size_t i = 0; i < n; ++i) {
-    above += (x[i] - mean_x) * (y[i] - mean_y);
-    below += (x[i] - mean_x) * (x[i] - mean_x);
+    above += weight(i) * (x[i] - mean_x) * (y[i] - mean_y);
+    below += weight(i) * (x[i] - mean_x) * (x[i] - mean_x);
   }
   line.slope = below > 0 ? above / below : 0;
   line.at = mean_y - line.slope * mean_x;
--- a/lab/report.h
+++ b/lab/report.h
@@ -25,7 +25,8 @@
 // With so many digits after the point.
 std::string Figure(double value, int digits = 2);
 
-// Least squares through points (x, y): y = at + slope x, and the largest error of a point as a share of it.
+// Least squares of the relative errors through points (x, y), y above 0: y = at + slope x, and the largest
+// error of a point as a share of it.
 struct Line {
   double at = 0, slope = 0, error = 0;
 };
--- /dev/null
+++ b/lab/slopes.cpp
@@ -0,0 +1,161 @@
+#include "slopes.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <memory>
+
+#include "clock.h"
+#include "control.h"
+#include "fleet.h"
+#include "random.h"
+
+namespace thornspoke::lab {
+namespace {
+
+// Of a line whose x counts thousands once scaled.
+std::string FitText(const Line& line, const char* unit) {
+  return Figure(line.at, 3) + " + " + Figure(line.slope * 1000, 3) + " " + unit + ", off by " +
+         Figure(100 * line.error, 0) + "% at the most";
+}
+
+}  // namespace
+
+ModuleCost MeasureModule(int backends) {
+  FleetSpec spec;
+  spec.gateways = 780;
+  spec.quotas = false;
+  micadock::Actions out;
+  ModuleCost cost;
+  auto held = [] { return mallinfo2().uordblks + mallinfo2().hblkhd; };  // small and large pieces
+  auto module = std::make_unique<micadock::Balancer>(FleetSettings(spec, 0), 1, 1000, &out);
+  std::vector<micadock::Backend> list;
+  for (int i = 0; i < backends; ++i) {
+    micadock::Backend b;
+    b.id = static_cast<uint32_t>(Mix(static_cast<uint64_t>(i)));
+    b.zone = i % 7;
+    b.weight = 1;
+    list.push_back(b);
+  }
+  size_t before = held();
+  double begun = ProcessorSeconds();
+  module->OnList(1000, micadock::ListKind::kFull, list, &out);
+  cost.list_ms = 1e3 * (ProcessorSeconds() - begun);
+  cost.memory_bytes = static_cast<double>(held()) - static_cast<double>(before);
+  // A second one is what a watch that fell behind brings while it serves.
+  begun = ProcessorSeconds();
+  module->OnList(1000.1, micadock::ListKind::kFull, list, &out);
+  cost.list_ms = std::max(cost.list_ms, 1e3 * (ProcessorSeconds() - begun));
+  int requests = std::clamp(4000000 / backends, 500, 100000);
+  begun = ProcessorSeconds();
+  double now = 1001;
+  for (int i = 1; i <= requests; ++i) {
+    out.clear();
+    now += 0.0065;  // 154 a second
+    micadock::Request request;
+    request.id = static_cast<uint32_t>(i);
+    request.customer = static_cast<uint64_t>(i % 1000) + 1;
+    request.left_s = 3;
+    request.units = 1;
+    module->OnRequest(now, request, &out);
+    for (const micadock::Action& action : micadock::Actions(out)) {
+      if (action.kind != micadock::ActionKind::kSend) continue;
+      micadock::Outcome outcome;
+      outcome.request = request.id;
+      outcome.finished = true;
+      outcome.backend = action.backend;
+      module->OnOutcome(now + 0.1, outcome, &out);
+    }
+  }
+  cost.decision_us = 1e6 * (ProcessorSeconds() - begun) / requests;
+  return cost;
+}
+
+std::vector<Report> RunSlopes(const std::string& gateway, bool brief) {
+  std::vector<Report> reports;
+  std::vector<int> sizes = {20, 60, 200, 600, 2000, 6700};
+
+  Report module("The module's processor time and memory (one gateway)",
+                {"backends", "a request's decision us", "a whole list ms", "memory MB"});
+  std::vector<double> x, squares, decision, list;
+  for (int n : sizes) {
+    ModuleCost cost = MeasureModule(n);
+    module.Row({std::to_string(n), Figure(cost.decision_us), Figure(cost.list_ms, 3),
+                Figure(cost.memory_bytes / (1 << 20), 2)});
+    if (n >= 200) {
+      x.push_back(n);
+      squares.push_back(1e-3 * n * n);
+      decision.push_back(cost.decision_us);
+      list.push_back(cost.list_ms);
+    }
+  }
+  module.Row({"fit of all from 200 on", FitText(Fit(x, decision), "us a thousand backends"),
+              FitText(Fit(squares, list), "ms a million of their square"), "-"});
+  reports.push_back(module);
+
+  Report control("One real gateway on loopback",
+                 {"backends", "changes/s", "ready s", "CPU until ready s", "CPU after, % of a core",
+                  "most memory MB", "whole list kB", "kB/s", "calls/s"});
+  std::vector<double> cx, cpu, ready_cpu;
+  for (int n : {20, 200, 2000, 6700}) {
+    // 2,300 restarts a day, each told twice at least; and 84% of a service of thirty replaced in 20 s.
+    for (double changes : {0.0, 0.05, 1.3, 20.0}) {
+      if (brief && changes > 0 && changes < 20) continue;
+      ControlSpec spec;
+      spec.gateway = gateway;
+      spec.backends = n;
+      spec.changes_per_s = changes;
+      spec.seconds = brief ? 1 : 4;
+      ControlCount c = RunControl(spec);
+      control.Row({std::to_string(n), Figure(changes), Figure(c.ready_s, 3), Figure(c.start_cpu_s, 2),
+                   Figure(100 * c.cpu_share, 2), Figure(c.resident_mb, 1), Figure(c.list_bytes / 1e3, 1),
+                   Figure(c.bytes_per_s / 1e3, 2), Figure(c.calls_per_s, 1)});
+    }
+  }
+  reports.push_back(control);
+
+  Report fleet(
+      "The fleet in simulated time",
+      {"gateways x backends", "tenants", "first tries/s", "counter bears/s", "calls/s", "late", "busy",
+       "added p50 ms", "added p99 ms", "within 7.5 ms", "value", "beyond quota", "refused with room", "reuse",
+       "conns at a backend", "most there", "conns a gateway", "imbalance", "module us a try"});
+  struct Point {
+    int gateways, backends, tenants;
+    double rate, counter, seconds, spread_low, spread_high;
+  };
+  std::vector<Point> points = {{3, 12, 150, 140, 800, 20, 0.3, 1},
+                               {60, 40, 300, 520, 600, 20, 0.3, 1},
+                               {300, 200, 1000, 2600, 1100, 20, 0.3, 1},
+                               {780, 6700, 17000, 120000, 20000, 1, 0.3, 1},
+                               {780, 6700, 17000, 120000, 20000, 1, 0.002, 0.01}};
+  if (brief) points.resize(2);
+  auto share = [](double part, double whole) { return Figure(whole > 0 ? 100 * part / whole : 0, 1) + "%"; };
+  for (const Point& p : points) {
+    FleetSpec spec;
+    spec.gateways = p.gateways;
+    spec.backends = p.backends;
+    spec.tenants = p.tenants;
+    spec.requests_per_s = p.rate;
+    spec.counter.calls_per_s = p.counter;
+    spec.seconds = p.seconds;
+    spec.spread_low = p.spread_low;
+    spec.spread_high = p.spread_high;
+    if (p.gateways > 500) spec.zones = 7;
+    FleetCount c = RunFleet(spec);
+    double calls = static_cast<double>(c.calls), tries = static_cast<double>(c.tries);
+    fleet.Row(
+        {std::to_string(p.gateways) + " x " + std::to_string(p.backends), std::to_string(p.tenants),
+         Figure(p.rate, 0), Figure(p.counter, 0), Figure(calls / p.seconds, 0),
+         share(static_cast<double>(c.calls_late), calls), share(static_cast<double>(c.calls_busy), calls),
+         Figure(1e3 * c.added_s.Percentile(0.5)), Figure(1e3 * c.added_s.Percentile(0.99), 1),
+         share(c.added_s.ShareUpTo(0.0075), 1), Figure(c.Value(), 3), share(c.units_beyond, c.units_sent),
+         share(static_cast<double>(c.refused_with_room), tries),
+         share(static_cast<double>(c.reused), static_cast<double>(c.attempts)), Figure(c.connections_mean, 1),
+         Figure(c.connections_most, 0), Figure(c.connections_mean * p.backends / p.gateways, 0),
+         Figure(c.imbalance), Figure(c.decision_us)});
+  }
+  reports.push_back(fleet);
+  return reports;
+}
+
+}  // namespace thornspoke::lab
