Wait for what has arrived in the tests of a client's end, instead of for 50 ms

Two of the tests slept so that one event came before the other. They now look for the bytes in the process's own socket. The one of the retry also lets the other backend's connection rest for twice its settling time; without that a new connection is opened there, and the test said nothing (seen: it passed on the code before).

--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -590,6 +590,26 @@
   return false;
 }
 
+// Whether bytes from a peer at `port` have come that the process they are for has not read yet.
+bool Arrived(int port) {
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  std::getline(table, line);
+  while (std::getline(table, line)) {
+    unsigned remote = 0, unread = 0;
+    // sl, local address, remote address, state, bytes unsent and unread
+    if (std::sscanf(line.c_str(), " %*d: %*x:%*x %*x:%x %*x %*x:%x", &remote, &unread) == 2 &&
+        remote == static_cast<unsigned>(port) && unread > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+void AwaitArrival(std::initializer_list<int> ports) {
+  auto limit = Clock::now() + std::chrono::seconds(kLimitS);
+  while (std::none_of(ports.begin(), ports.end(), Arrived) && Clock::now() < limit) std::this_thread::yield();
+}
+
 // The client leaves while the connection to the backend is still to come up: nothing is sent on it, whether
 // or not the settings allow cancels, and however the client leaves.
 TEST(Gateway, SendsNothingForAClientThatLeftWhileItsConnectionWasToCome) {
@@ -705,7 +725,7 @@
   Ask(*gateway.Connect(), "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
   gateway.Signal(SIGSTOP);
   go.Add();  // its answer comes first
-  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  AwaitArrival({slow.port()});
   client->EndSending();
   gateway.Signal(SIGCONT);
   EXPECT_EQ(Ask(*gateway.Connect(), Request("quote", 1, 60000)).status(), 200);
@@ -758,7 +778,9 @@
     EXPECT_TRUE(failing.Wait());
     site.gateway->Signal(SIGSTOP);
     go.Add();
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));  // so that the failure comes before the end
+    AwaitArrival({one.port(), two.port()});  // so that the failure comes before the end
+    // The other's connection has rested by now and could take a request.
+    std::this_thread::sleep_for(2 * ivygw::Seconds(ivygw::BackendPool::kSettleS));
     Leave(*client, reset);
     site.gateway->Signal(SIGCONT);
     EXPECT_EQ(Ask(*other, Request("quote", 1, 60000)).status(), 200);
