--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -71,7 +71,9 @@
 struct Pool : Loop {
   explicit Pool(double settle_s = 0) : pool(io, 30, 5, 0.5, 100, settle_s) {}
   uint64_t Send(uint32_t backend, const std::string& text) {
-    return pool.Send(backend, text, 50, [this](ivygw::AttemptEnd end) { ends.push_back(std::move(end)); });
+    return pool.Send(
+        backend, [text](double) { return text; }, 50,
+        [this](ivygw::AttemptEnd end) { ends.push_back(std::move(end)); });
   }
   std::vector<ivygw::AttemptEnd> ends;
   ivygw::BackendPool pool;
@@ -347,6 +349,22 @@
   }
 }
 
+// Every place is taken by clients that wait for their answers when another is to be accepted. The first whose
+// answer is out makes room, though its connection could be kept.
+TEST(ClientServer, TakesNewOnesAgainWhenThoseThatWaitedHaveTheirAnswers) {
+  Server_ s(1);
+  auto first = s.Connect();
+  first->Write(Post("first"));
+  s.Until([&] { return s.requests.size() == 1; });
+  auto second = s.Connect();
+  second->Write(Post("second"));
+  for (int i = 0; i < 100; ++i) s.io.poll_one();
+  s.Reply(0, "x");
+  s.Until([&] { return s.requests.size() == 2; });
+  EXPECT_EQ(first->Read().status(), 200);
+  EXPECT_EQ(s.gone, 0);
+}
+
 // An agent driven by the test: the asks that came, and the lists that the client told.
 struct Agent : Loop {
   explicit Agent(double grace_s = 1) {
@@ -437,6 +455,130 @@
   EXPECT_NE(agent.Ask().find("after=3"), std::string::npos);
 }
 
+// An agent whose answer trickles for ever, in a watch or in the whole list, is given up and asked anew.
+TEST(DiscoveryClient, GivesUpAnAnswerThatNeverEnds) {
+  for (bool watch : {false, true}) {
+    Agent agent(2.5);
+    agent.Ask();
+    if (watch) {
+      agent.Tell(1, true, "active");
+      agent.Ask();
+    }
+    std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n{\"index\":2,";
+    size_t at = 0;
+    auto next = Clock::now();
+    // A byte each 10 ms, so that it is never silent for long.
+    agent.Until([&] {
+      if (Clock::now() >= next) {
+        agent.wire->Write(at < text.size() ? text.substr(at, 1) : " ");
+        next = Clock::now() + std::chrono::milliseconds(10);
+        ++at;
+      }
+      return agent.failed > 0 && agent.listener.Waiting();
+    });
+    EXPECT_EQ(agent.failed, 1) << watch;
+    agent.Connected();
+    agent.Ask();
+    agent.Tell(2, true, "leaving");
+    EXPECT_EQ(agent.lists.back().index, 2u) << watch;
+  }
+}
+
+// Every way for a call to end without an answer leads to the next call, which learns what there is to learn.
+TEST(DiscoveryClient, AsksOnHoweverACallEnds) {
+  std::vector<std::pair<std::string, std::function<void(Agent&)>>> ends = {
+      {"reset", [](Agent& a) { a.wire->Reset(); }},
+      {"half an answer",
+       [](Agent& a) {
+         a.wire->Write("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"ind");
+         a.wire->EndSending();
+       }},
+      {"silence after half", [](Agent& a) { a.wire->Write("HTTP/1.1 200 OK\r\nContent-Le"); }},
+      {"503", [](Agent& a) { a.wire->Write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"); }},
+      {"noise", [](Agent& a) { a.wire->Write("*** \r\n\r\n"); }},
+      {"no list", [](Agent& a) { a.wire->Write(Ok("{}")); }}};
+  for (const auto& [how, end] : ends) {
+    Agent agent(2.5);
+    agent.Ask();
+    agent.Tell(1, true, "active");
+    for (int i = 0; i < 4; ++i) {  // past the fallback to the whole list
+      agent.Ask();
+      auto broken = std::move(agent.wire);
+      std::swap(agent.wire, broken);
+      end(agent);
+      broken = std::move(agent.wire);
+      agent.Connected();
+    }
+    EXPECT_EQ(agent.Ask().find("after="), std::string::npos) << how;
+    agent.Tell(9, true, "leaving");
+    EXPECT_EQ(agent.lists.back().index, 9u) << how;
+  }
+}
+
+// An agent that answers each watch at once with nothing new does not keep the gateway busy: between two asks
+// it waits.
+TEST(DiscoveryClient, WaitsBetweenWatchesThatTellNothing) {
+  Agent agent(2.5);
+  agent.Ask();
+  agent.Tell(1, true, "active");
+  auto begun = Clock::now();
+  constexpr int kAsks = 10;
+  for (int i = 0; i < kAsks; ++i) {
+    EXPECT_NE(agent.Ask().find("after=1"), std::string::npos);
+    bool whole = i % 2 == 0;
+    size_t before = agent.lists.size();
+    json entries = whole ? json::array({Entry("a", 1)}) : json::array();
+    agent.wire->Write(Ok(json{{"index", 1}, {"snapshot", whole}, {"endpoints", entries}}.dump()));
+    agent.Until([&] { return agent.lists.size() > before; });
+  }
+  // Never sooner, however fast the machine: a bound from below says nothing of its speed.
+  EXPECT_GE(Clock::now() - begun, (kAsks - 1) * std::chrono::milliseconds(20));
+}
+
+// Interim answers ahead of the list, and pauses in it that are longer than the silence a short grace allows.
+TEST(DiscoveryClient, HearsAnAgentThatPausesAndSendsInterimAnswers) {
+  Agent agent(0.5);  // silence is noticed in 75 ms
+  agent.Ask();
+  agent.Tell(1, true, "active");
+  std::string text = Ok(json{{"index", 2}, {"snapshot", true}, {"endpoints", {Entry("a", 1)}}}.dump());
+  std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  // Three tries at the most: the time that it may be silent has doubled to 300 ms by the third.
+  for (int i = 0; i < 6 && agent.lists.size() < 2; ++i) {
+    agent.Ask();
+    agent.wire->Write(interim + interim + text.substr(0, 40));
+    auto resume = Clock::now() + std::chrono::milliseconds(150);
+    int failed = agent.failed;
+    agent.Until([&] { return Clock::now() >= resume || agent.failed > failed; });
+    if (agent.failed > failed) {
+      agent.Connected();
+      continue;
+    }
+    agent.wire->Write(text.substr(40));
+    agent.Until([&] { return agent.lists.size() == 2 || agent.failed > failed; });
+  }
+  EXPECT_EQ(agent.lists.size(), 2u);
+}
+
+// Moved to an agent that takes connections and says nothing, and then answers.
+TEST(DiscoveryClient, AsksAgainWhereTheAgentItMovedToIsSilent) {
+  Agent agent(2.5);
+  agent.Ask();
+  agent.Tell(1, true, "active");
+  agent.Ask();
+  Listener next;
+  agent.client->Move(At(next.port()));
+  std::vector<std::unique_ptr<Wire>> silent;
+  for (int i = 0; i < 3; ++i) {
+    agent.Until([&] { return next.Waiting(); });
+    silent.push_back(next.Take());
+  }
+  agent.Until([&] { return next.Waiting(); });
+  agent.wire = next.Take();
+  EXPECT_EQ(agent.Ask().find("after="), std::string::npos);
+  agent.Tell(5, true, "leaving");
+  EXPECT_EQ(agent.lists.back().index, 5u);
+}
+
 // Connections of any process here to `port` that are still to come up.
 bool Connecting(int port) {
   std::ifstream table("/proc/net/tcp");
@@ -513,6 +655,195 @@
   }
 }
 
+// A client's end counts from when it came, not from when a busy process looks. The process is halted while
+// the client leaves, so that the end waits behind another event that would begin an attempt. Cancels are
+// forbidden, so that nothing but the look before each attempt can keep it back.
+json NoCancel(int discovery, int counter) {
+  json config = Config(discovery, counter);
+  config["settings"]["limits"]["cancel"] = false;
+  config["settings"]["limits"]["connect-timeout-s"] = 20.0;
+  config["settings"]["specifics"]["counter-timeout-s"] = 5.0;
+  for (json& cls : config["settings"]["request-classes"]) cls["hard-limit-s"] = 60.0;
+  return config;
+}
+void Leave(Wire& client, bool reset) {
+  if (reset) return client.Reset();
+  client.Close();
+}
+
+TEST(Gone, WithItsRequestUnreadInTheSocket) {
+  for (bool reset : {false, true}) {
+    Backend backend(Says(Ok("x")));
+    Site site(json::array({Entry("s1", backend.port())}), NoCancel(0, 0));
+    auto client = site.gateway->Connect();
+    Ask(*client, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    site.gateway->Signal(SIGSTOP);
+    client->Write(Request("quote", 1, 60000));
+    Leave(*client, reset);
+    site.gateway->Signal(SIGCONT);
+    EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote", 1, 60000)).status(), 200);
+    EXPECT_EQ(backend.requests.count(), 1) << "only the one that is still wanted; reset " << reset;
+  }
+}
+
+TEST(Gone, BehindWhatItSentAheadWhileItWaitedForTheCounter) {
+  Event asked, go;
+  Counter slow([&](const std::string&, double) {
+    asked.Add();
+    go.Wait();
+    return Bulk("0");
+  });
+  Backend backend(Says(Ok("x")));
+  Discovery discovery;
+  discovery.Set(json::array({Entry("s1", backend.port())}));
+  Process gateway(NoCancel(discovery.port(), slow.port()));
+  EXPECT_TRUE(discovery.Told());
+  auto client = gateway.Connect();
+  client->Write(Request("send-lead", 2, 60000));
+  EXPECT_TRUE(asked.Wait());
+  client->Write(std::string(40000, 'G'));  // more than is read ahead
+  Ask(*gateway.Connect(), "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  gateway.Signal(SIGSTOP);
+  go.Add();  // its answer comes first
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  client->EndSending();
+  gateway.Signal(SIGCONT);
+  EXPECT_EQ(Ask(*gateway.Connect(), Request("quote", 1, 60000)).status(), 200);
+  EXPECT_EQ(backend.requests.count(), 1) << "only the one that is still wanted";
+}
+
+TEST(Gone, BehindTheConnectionThatItsRequestWaitedFor) {
+  for (bool reset : {false, true}) {
+    Listener backend(0);
+    auto filler = Wire::To(backend.port());
+    {
+      Site site(json::array({Entry("s1", backend.port())}), NoCancel(0, 0));
+      auto client = site.gateway->Connect();
+      client->Write(Request("quote", 1, 60000));
+      auto limit = Clock::now() + std::chrono::seconds(kLimitS);
+      while (!Connecting(backend.port()) && Clock::now() < limit) std::this_thread::yield();
+      site.gateway->Signal(SIGSTOP);
+      auto taken = backend.Take();
+      while (Connecting(backend.port()) && Clock::now() < limit) std::this_thread::yield();
+      Leave(*client, reset);
+      site.gateway->Signal(SIGCONT);
+    }
+    EXPECT_EQ(backend.All(), "") << "reset " << reset;
+  }
+}
+
+TEST(Gone, BehindTheFailureAfterWhichItsRequestWouldBeTriedAgain) {
+  for (bool reset : {false, true}) {
+    Event warm, go, failing;
+    auto answer = [&](const Message& request, Wire&) {
+      if (request.head.find("/warm ") != std::string::npos) {
+        warm.Add();
+        warm.Wait(2);
+      }
+      if (request.head.find("/fail ") == std::string::npos) return Ok("x");
+      failing.Add();
+      go.Wait();
+      return std::string("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
+    };
+    Backend one(answer), two(answer);
+    Site site(json::array({Entry("s1", one.port()), Entry("s2", two.port())}), NoCancel(0, 0));
+    // A connection to each is kept, so that nothing but the look keeps a second attempt back.
+    auto other = site.gateway->Connect(), client = site.gateway->Connect();
+    other->Write(Request("quote/warm", 1, 60000));
+    client->Write(Request("quote/warm", 1, 60000));
+    EXPECT_EQ(other->Read().status(), 200);
+    EXPECT_EQ(client->Read().status(), 200);
+    EXPECT_EQ(one.connections() + two.connections(), 2);
+    client->Write(Request("quote/fail", 1, 60000));
+    EXPECT_TRUE(failing.Wait());
+    site.gateway->Signal(SIGSTOP);
+    go.Add();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));  // so that the failure comes before the end
+    Leave(*client, reset);
+    site.gateway->Signal(SIGCONT);
+    EXPECT_EQ(Ask(*other, Request("quote", 1, 60000)).status(), 200);
+    EXPECT_EQ(failing.count(), 1) << "no second attempt; reset " << reset;
+  }
+}
+
+// What an attempt tells its backend is what is left when it goes out, however long its connection took to
+// come up.
+TEST(Gateway, TellsABackendWhatIsLeftWhenItsConnectionHasComeUp) {
+  Listener backend(0);
+  auto filler = Wire::To(backend.port());  // takes the only place in the listener's queue
+  Site site(json::array({Entry("s1", backend.port())}), NoCancel(0, 0));
+  auto client = site.gateway->Connect();
+  client->Write(Request("quote", 1, 60000));
+  auto limit = Clock::now() + std::chrono::seconds(kLimitS);
+  while (!Connecting(backend.port()) && Clock::now() < limit) std::this_thread::yield();
+  auto begun = Clock::now();
+  while (Clock::now() < begun + std::chrono::milliseconds(300)) std::this_thread::yield();  // in vain
+  auto taken = backend.Take();                                                              // makes room
+  std::unique_ptr<Wire> wire = backend.Take();
+  Message request = wire->Read();
+  double told_ms = std::atof(request.Header("Request-Timeout-Ms").c_str());
+  EXPECT_GT(told_ms, 0);
+  EXPECT_LE(told_ms, 60000 - 300);
+  wire->Write(Ok("x"));
+  EXPECT_EQ(client->Read().status(), 200);
+}
+
+// Idle clients hold every descriptor that clients may have while discovery is silent and the counter has
+// gone. When these are back, at other addresses even, their connections come up, new clients are taken and
+// served by a backend that was not known before, and the idle ones make room.
+TEST(Gateway, LeavesDescriptorsForItsOwnConnectionsWhenIdleClientsFillIt) {
+  constexpr rlim_t kDescriptors = 64;
+  Backend before(Says(Ok("before"))), after(Says(Ok("after")));
+  json config = Config(0, 0);
+  config["limits"]["sockets"] = kDescriptors;
+  Site site(json::array({Entry("s1", before.port())}), config, IVYGW, kDescriptors);
+  site.discovery.Silence(true);
+  site.counter.Stop();
+  std::vector<std::unique_ptr<Wire>> idle;
+  for (int i = 0; i < 200; ++i) idle.push_back(site.gateway->Connect());
+  EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote")).body, "before") << "a new client is served";
+  Counter counter([](const std::string&, double) { return Bulk("0"); });
+  Discovery discovery;
+  discovery.Set(json::array({Entry("s2", after.port())}));
+  config["discovery"] = "127.0.0.1:" + std::to_string(discovery.port());
+  config["counter"] = "127.0.0.1:" + std::to_string(counter.port());
+  site.gateway->Reload(config.dump());
+  EXPECT_TRUE(discovery.Told()) << "its connection to discovery comes up";
+  EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote")).body, "after") << "and one to a backend";
+  while (counter.calls.count() == 0) Ask(*site.gateway->Connect(), Request("quote", 2));
+  EXPECT_TRUE(idle.front()->Ended()) << "the one idle longest made room";
+}
+
+// Hundreds start at once with a long list, while discovery is silent or refuses: each is ready by the list
+// that it knew, since readiness waits for no more than the first call to end.
+TEST(Gateway, IsReadyWithoutDiscoveryWhenManyStartAtOnce) {
+  constexpr size_t kProcesses = 100, kListed = 2000;
+  json known = json::array();
+  for (size_t i = 0; i < kListed; ++i) known.push_back(Entry(std::to_string(i), 9));
+  Discovery silent;
+  silent.Silence(true);
+  std::string configs[] = {Config(silent.port(), DeadPort(), known).dump(),
+                           Config(DeadPort(), DeadPort(), known).dump()};
+  std::vector<std::unique_ptr<Process>> gateways(kProcesses);
+  std::vector<std::thread> starting;
+  for (size_t i = 0; i < kProcesses; ++i) {
+    starting.emplace_back(
+        [&, i] { gateways[i] = std::make_unique<Process>(configs[i % 2], IVYGW, rlim_t{0}); });
+  }
+  for (std::thread& start : starting) start.join();
+  for (auto& gateway : gateways) {
+    ASSERT_NE(gateway->port, 0) << gateway->line;
+    auto limit = Clock::now() + std::chrono::seconds(kLimitS);
+    auto probe = gateway->Connect();
+    int status = 0;
+    while (status != 200 && Clock::now() < limit) {
+      status = Ask(*probe, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status();
+    }
+    EXPECT_EQ(status, 200);
+  }
+  for (auto& gateway : gateways) gateway->Signal(SIGTERM);  // each takes half a second to end
+}
+
 // A request that comes late after SIGTERM, on a connection that stayed open, is to have its answer before
 // SIGKILL, however long its own time is.
 TEST(Gateway, AnswersWhatComesLateAfterSigtermBeforeSigkill) {
