--- a/lab/counter.h
+++ b/lab/counter.h
@@ -32,7 +32,6 @@
   void set_silent(bool silent) { spec_.silent = silent; }
   uint64_t calls() const { return calls_; }
   uint64_t busy() const { return busy_; }
-  size_t names() const { return numbers_.size(); }
 
  private:
   struct Number {
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <unordered_map>
 
 #include "backend.h"
@@ -42,10 +41,6 @@
   std::vector<Attempt> attempts;
 };
 
-struct Idle {
-  double since;
-};
-
 class Fleet {
  public:
   explicit Fleet(const FleetSpec& spec)
@@ -166,6 +161,7 @@
   }
 
   void MakeGateways() {
+    micadock::Actions none;  // where lists are pushed a module asks for nothing at its start
     gateways_.resize(static_cast<size_t>(spec_.gateways));
     for (int g = 0; g < spec_.gateways; ++g) {
       Gateway& gateway = gateways_[static_cast<size_t>(g)];
@@ -174,8 +170,7 @@
       settings.gateway = g;
       settings.zone = g % spec_.zones;
       gateway.balancer = std::make_unique<micadock::Balancer>(
-          settings, Mix(spec_.seed * 7919 + static_cast<uint64_t>(g)), kStartS, &actions_);
-      actions_.clear();
+          settings, Mix(spec_.seed * 7919 + static_cast<uint64_t>(g)), kStartS, &none);
       Tell(gateway,
            [&](auto& b, double now, auto* out) { b.OnList(now, micadock::ListKind::kFull, entries_, out); });
       count_.list_bytes += kEntryBytes * static_cast<double>(entries_.size());
@@ -241,7 +236,6 @@
     if (Measured()) {
       ++count_.first_tries;
       if (offered) {
-        ++count_.inside_tries;
         count_.worth_offered += t.units * plan.price;
       }
     }
@@ -502,7 +496,6 @@
     count_.connections_mean = warm > 0 ? held / warm : 0;
     count_.connections_most = held_most;
     count_.decision_us = 1e6 * decision_s_ / std::max<double>(1, static_cast<double>(count_.tries));
-    count_.ended_at_s = spec_.quiet_s + spec_.seconds;
   }
 
   const FleetSpec spec_;
@@ -510,7 +503,6 @@
   EventQueue queue_;
   Counter counter_;
   micadock::Settings settings_;
-  micadock::Actions actions_;
   std::vector<Tenant> tenants_;
   std::vector<double> cumulative_;
   double inside_per_s_ = 0, work_scale_ = 1, decision_s_ = 0;
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -52,7 +52,7 @@
 
 struct FleetCount {
   uint64_t first_tries = 0, tries = 0, sent = 0, served = 0, in_time = 0, refused = 0, failed = 0;
-  uint64_t refused_with_room = 0, inside_tries = 0;
+  uint64_t refused_with_room = 0;
   double units_sent = 0, units_beyond = 0;
   // Worth is units times the plan's price: of the first tries that one gateway which saw all would let in; of
   // what was inside its quota when sent and served in time; and the price of what was sent beyond a quota.
@@ -66,7 +66,6 @@
   Histogram added_s;       // from a try's arrival to its first attempt
   Histogram served_s;
   ColdWindow cold;
-  double ended_at_s = 0;
 };
 
 FleetCount RunFleet(const FleetSpec& spec);
