Log when discovery falls silent and answers again, with the last wait

Two hypotheses: a poll that was opened during the silence is waited for too long after the agent is back, or the list was read in time and the pool sent all the same. No log line told them apart. Change: discovery_silent after three failures in a row, discovery_recovered with the time since the last response and how long the last failed exchange was waited for.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdio>
 #include <new>
 #include <utility>
 
@@ -152,6 +153,7 @@
   bool nothing_new = !need_full_list_ && index_ == list.index;
   bool early = Clock::now() - began_at_ <
                DetectionFraction(options_.watch_wait_fraction * options_.early_response_fraction);
+  LogRecovery();
   need_full_list_ = false;
   index_ = list.index;
   failures_ = 0;
@@ -191,11 +193,22 @@
 // that no change is missed whatever the agent still remembers.
 void DiscoveryClient::Fail() {
   CloseSocket(socket_);
-  if (++failures_ >= kFailuresBeforeFullList) need_full_list_ = true;
+  last_failure_wait_ = Clock::now() - began_at_;
+  ++failures_;
+  if (failures_ == kFailuresBeforeFullList) std::fprintf(stderr, "discovery_silent failures=%d\n", failures_);
+  if (failures_ >= kFailuresBeforeFullList) need_full_list_ = true;
   PollAfter(Backoff());
   on_failed_();
 }
 
+// Tells apart, for a change that was applied late, an agent that answered late from an exchange that was
+// waited for too long: `last_wait_s` is how long the last exchange that failed lasted.
+void DiscoveryClient::LogRecovery() const {
+  if (failures_ < kFailuresBeforeFullList) return;
+  std::fprintf(stderr, "discovery_recovered failures=%d silent_s=%.3f last_wait_s=%.3f\n", failures_,
+               ToSeconds(Clock::now() - last_response_at_), ToSeconds(last_failure_wait_));
+}
+
 void DiscoveryClient::PollAfter(Clock::duration pause) {
   ++exchange_id_;
   state_ = State::kPausing;
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -113,6 +113,7 @@
   std::optional<EndpointList> ParseList();
   bool IsAcceptable(const EndpointList& list);
   void Fail();
+  void LogRecovery() const;
 
   // Time.
   void ArmTimer(Clock::time_point when);
@@ -135,6 +136,8 @@
   std::optional<uint64_t> index_;  // of the list as last received
   bool need_full_list_ = true;
   int failures_ = 0;  // in a row
+  // How long the last exchange that failed was waited for.
+  Clock::duration last_failure_wait_{};
   // When the agent last answered: what it tells later it did not have before.
   Clock::time_point last_response_at_;
 
