Split one exchange with discovery off the client that follows it

Cause: DiscoveryClient held the state of the exchange (socket, parser, timer, an id that old handlers compared) next to that of following the list, so that no second exchange could be open beside a silent one. Change: DiscoveryExchange sends one request and reads its response; DiscoveryClient decides what to ask for and when. No behaviour changes.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -11,8 +11,6 @@
 namespace gateway::net {
 namespace {
 
-constexpr size_t kMaxListBytes = size_t{8} << 20;
-constexpr int kMaxInterimResponses = 16;    // 1xx, ahead of the final one
 constexpr int kFailuresBeforeFullList = 3;  // in a row
 constexpr int kMaxDoublings = 8;            // of backoff and silence
 
@@ -25,21 +23,24 @@
 
 DiscoveryClient::DiscoveryClient(asio::io_context& io, const tcp::endpoint& address,
                                  const config::DeploymentSettings& deployment, EndpointIds* ids,
-                                 OnList on_list, OnFailed on_failed, const DiscoveryClientOptions& options)
+                                 OnList on_list, OnFailure on_failure, const DiscoveryClientOptions& options)
     : options_(options),
+      io_(io),
       address_(address),
       deployment_(deployment),
       detection_time_s_(DetectionTime(options, deployment)),
       ids_(ids),
       on_list_(std::move(on_list)),
-      on_failed_(std::move(on_failed)),
+      on_failure_(std::move(on_failure)),
       last_response_at_(Clock::now()),
-      socket_(io),
-      timer_(io) {}
+      connection_(io),
+      pause_timer_(io) {}
+
+DiscoveryClient::~DiscoveryClient() { EndExchange(); }
 
 void DiscoveryClient::Start() {
-  if (state_ != State::kStopped) return;
-  state_ = State::kPausing;
+  if (started_) return;
+  started_ = true;
   Poll();
 }
 
@@ -49,111 +50,54 @@
   address_ = address;
   need_full_list_ = true;
   failures_ = 0;
-  CloseSocket(socket_);
-  Poll();
+  EndExchange();
+  if (started_) Poll();
+}
+
+void DiscoveryClient::EndExchange() {
+  if (exchange_ != nullptr) exchange_->Abort();
+  exchange_.reset();
+  CloseSocket(connection_);
 }
 
 void DiscoveryClient::Poll() {
-  if (state_ == State::kStopped) return;
-  ++exchange_id_;
-  bool watch = index_.has_value() && !need_full_list_;
+  pause_timer_.cancel();
+  DiscoveryExchange::Timeouts timeouts{MaxSilence(), Seconds(options_.response_timeout_s)};
+  DiscoveryExchange::Owner* owner = this;
+  exchange_ = std::make_shared<DiscoveryExchange>(owner, std::exchange(connection_, tcp::socket(io_)),
+                                                  address_, ComposeRequest(), timeouts);
+  auto started = exchange_;  // a failure at once drops the client's reference
+  started->Start();
+}
+
+DiscoveryExchange::Request DiscoveryClient::ComposeRequest() const {
+  DiscoveryExchange::Request request;
+  request.watch = index_.has_value() && !need_full_list_;
   // After a failure the agent answers at once with what is new; only the exchange after that waits.
-  bool may_wait = watch && failures_ == 0;
+  bool may_wait = request.watch && failures_ == 0;
   auto wait = std::chrono::ceil<std::chrono::milliseconds>(
       DetectionFraction(may_wait ? options_.watch_wait_fraction : 0));
-  ComposeRequest(watch, wait);
-  ResetParser(&parser_, kMaxListBytes);
-  interim_responses_ = 0;
-  max_silence_ = wait + MaxSilence();
-  began_at_ = Clock::now();
-  response_deadline_ = began_at_ + wait + Seconds(options_.response_timeout_s);
-  AwaitBytes();
-  if (socket_.is_open() && !IsStale(socket_)) {
-    Send();
-  } else {
-    CloseSocket(socket_);
-    Connect();
-  }
-}
-
-void DiscoveryClient::ComposeRequest(bool watch, std::chrono::milliseconds wait) {
-  request_ = std::string("GET ") + kEndpointListPath;
-  if (watch) {
-    request_ += std::string("?") + kWatchIndexParameter + "=" + std::to_string(*index_);
-    request_ += std::string("&") + kWatchWaitMsParameter + "=" + std::to_string(wait.count());
+  request.may_wait = wait;
+  request.text = std::string("GET ") + kEndpointListPath;
+  if (request.watch) {
+    request.text += std::string("?") + kWatchIndexParameter + "=" + std::to_string(*index_);
+    request.text += std::string("&") + kWatchWaitMsParameter + "=" + std::to_string(wait.count());
   }
-  request_ += " HTTP/1.1\r\nHost: discovery\r\n\r\n";
-}
-
-void DiscoveryClient::Connect() {
-  state_ = State::kConnecting;
-  buffer_.clear();
-  error_code error = OpenSocket(socket_, address_);
-  if (error) return Fail();
-  socket_.async_connect(address_, [this, exchange = exchange_id_](error_code failed) {
-    if (exchange != exchange_id_) return;
-    if (failed) return Fail();
-    Send();
-  });
-}
-
-// An agent whose socket does not take one short line does not read it.
-void DiscoveryClient::Send() {
-  state_ = State::kReceiving;
-  error_code error;
-  size_t sent = socket_.send(asio::buffer(request_), 0, error);
-  if (error || sent < request_.size()) return Fail();
-  Receive();
-}
-
-void DiscoveryClient::Receive() {
-  socket_.async_read_some(buffer_.prepare(kReadChunkBytes),
-                          [this, exchange = exchange_id_](error_code error, size_t size) {
-                            if (exchange == exchange_id_) OnBytes(error, size);
-                          });
+  request.text += " HTTP/1.1\r\nHost: discovery\r\n\r\n";
+  return request;
 }
 
-void DiscoveryClient::OnBytes(error_code error, size_t size) {
-  buffer_.commit(size);
-  if (size > 0) max_silence_ = MaxSilence();
-  AwaitBytes();
-  error_code parse_error;
-  if (error == asio::error::eof && parser_->got_some()) {
-    parser_->put_eof(parse_error);
-  } else if (error) {
-    return Fail();
-  }
-  if (!parse_error) parse_error = ParseReceived();
-  if (parse_error) return Fail();
-  if (parser_->is_done()) return OnResponse();
-  if (error) return Fail();
-  Receive();
-}
-
-// Passes over interim responses.
-error_code DiscoveryClient::ParseReceived() {
-  error_code error;
-  if (!parser_->is_done()) error = FeedParser(*parser_, buffer_);
-  while (!error && parser_->is_done() && parser_->get().result_int() / 100 == 1) {
-    if (interim_responses_ >= kMaxInterimResponses) return http::error::bad_status;
-    ++interim_responses_;
-    ResetParser(&parser_, kMaxListBytes);
-    error = FeedParser(*parser_, buffer_);
-  }
-  return error;
-}
-
-void DiscoveryClient::OnResponse() {
-  if (parser_->get().result() != http::status::ok) return Fail();
-  std::optional<EndpointList> parsed = ParseList();
-  if (!parsed || !IsAcceptable(*parsed)) return Fail();
+void DiscoveryClient::OnResponse(DiscoveryExchange* exchange) {
+  std::optional<EndpointList> parsed = ParseList(exchange->body());
+  if (!parsed || !IsAcceptable(*parsed, exchange->watch())) return OnFailed(exchange);
   EndpointList& list = *parsed;
 
-  if (!parser_->keep_alive() || buffer_.size() > 0) CloseSocket(socket_);
-  bool nothing_new = !need_full_list_ && index_ == list.index;
-  bool early = Clock::now() - began_at_ <
-               DetectionFraction(options_.watch_wait_fraction * options_.early_response_fraction);
   LogRecovery();
+  bool nothing_new = exchange->watch() && index_ == list.index;
+  bool early = Clock::now() - exchange->began_at() <
+               DetectionFraction(options_.watch_wait_fraction * options_.early_response_fraction);
+  connection_ = exchange->TakeConnection();
+  exchange_.reset();
   need_full_list_ = false;
   index_ = list.index;
   failures_ = 0;
@@ -166,11 +110,17 @@
   on_list_(std::move(list));
 }
 
+void DiscoveryClient::OnFailed(DiscoveryExchange* exchange) {
+  Clock::duration waited = Clock::now() - exchange->began_at();
+  EndExchange();
+  HandleFailure(waited);
+}
+
 // None where the body is no endpoint list, or where there is no memory for it: the list as last received
 // holds on.
-std::optional<EndpointList> DiscoveryClient::ParseList() {
+std::optional<EndpointList> DiscoveryClient::ParseList(const std::string& body) {
   try {
-    return ParseEndpointList(nlohmann::json::parse(parser_->get().body()), deployment_, ids_);
+    return ParseEndpointList(nlohmann::json::parse(body), deployment_, ids_);
   } catch (const DiscoveryError&) {
     return std::nullopt;
   } catch (const nlohmann::json::exception&) {
@@ -182,8 +132,8 @@
 
 // An index that goes back belongs to another numbering, or to an old response. Applied as a change it could
 // bring back a backend that is gone; only a full list that was asked for as such says what holds now.
-bool DiscoveryClient::IsAcceptable(const EndpointList& list) {
-  if (need_full_list_) return list.full;
+bool DiscoveryClient::IsAcceptable(const EndpointList& list, bool watch) {
+  if (!watch) return list.full;
   if (list.index >= *index_) return true;
   need_full_list_ = true;
   return false;
@@ -191,14 +141,13 @@
 
 // After a short gap a watch goes on from the same index. After a longer one the full list is asked for, so
 // that no change is missed whatever the agent still remembers.
-void DiscoveryClient::Fail() {
-  CloseSocket(socket_);
-  last_failure_wait_ = Clock::now() - began_at_;
+void DiscoveryClient::HandleFailure(Clock::duration waited) {
+  last_failure_wait_ = waited;
   ++failures_;
   if (failures_ == kFailuresBeforeFullList) std::fprintf(stderr, "discovery_silent failures=%d\n", failures_);
   if (failures_ >= kFailuresBeforeFullList) need_full_list_ = true;
   PollAfter(Backoff());
-  on_failed_();
+  on_failure_();
 }
 
 // Tells apart, for a change that was applied late, an agent that answered late from an exchange that was
@@ -210,31 +159,12 @@
 }
 
 void DiscoveryClient::PollAfter(Clock::duration pause) {
-  ++exchange_id_;
-  state_ = State::kPausing;
-  ArmTimer(Clock::now() + pause);
-}
-
-void DiscoveryClient::ArmTimer(Clock::time_point when) {
-  timer_.expires_at(when);
-  timer_.async_wait([this, exchange = exchange_id_](error_code cancelled) {
-    if (!cancelled && exchange == exchange_id_) OnTimer();
+  pause_timer_.expires_after(pause);
+  pause_timer_.async_wait([this](error_code cancelled) {
+    if (!cancelled && exchange_ == nullptr) Poll();
   });
 }
 
-// Counted anew from each byte, so that a long list may take its time, but never past the response's deadline.
-// Guards against an agent that falls silent (a hung process, or a machine that was cut off: nothing closes
-// the connection) and against one whose response never ends.
-void DiscoveryClient::AwaitBytes() { ArmTimer(std::min(Clock::now() + max_silence_, response_deadline_)); }
-
-void DiscoveryClient::OnTimer() {
-  if (state_ == State::kPausing) return Poll();
-  // Bytes that have come and are not read yet, in a busy event loop, are no silence.
-  bool overdue = Clock::now() >= response_deadline_;
-  if (!overdue && socket_.is_open() && HasUnreadBytes(socket_)) return AwaitBytes();
-  Fail();
-}
-
 // Longer with each failure, so that an agent that pauses longer than expected is heard all the same.
 Clock::duration DiscoveryClient::MaxSilence() const {
   Clock::duration silence = DetectionFraction(options_.silence_fraction);
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -5,13 +5,14 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
 #include "config/settings_parser.h"
 #include "net/clock.h"
+#include "net/discovery_exchange.h"
 #include "net/endpoint_list.h"
-#include "net/http_framing.h"
 #include "net/socket_util.h"
 
 namespace gateway::net {
@@ -72,19 +73,22 @@
 
 // Polls one agent at a time, with one exchange at a time. An exchange that fails is repeated after a backoff,
 // for ever.
-class DiscoveryClient {
+class DiscoveryClient : private DiscoveryExchange::Owner {
  public:
   // A list was received; its `notified_at` is set. When it is called the next exchange has begun or is
   // scheduled, so it may call Start() and SwitchTo().
   using OnList = std::function<void(EndpointList)>;
   // An exchange failed, and will be repeated. Nothing is known to have changed. The same holds.
-  using OnFailed = std::function<void()>;
+  using OnFailure = std::function<void()>;
 
   // `deployment` and `ids` outlive the client. Both callbacks are called from the event loop only, except
-  // that OnFailed may come from within Start() and SwitchTo() where no socket can be opened.
+  // that `on_failure` may come from within Start() and SwitchTo() where no socket can be opened.
   DiscoveryClient(asio::io_context& io, const tcp::endpoint& address,
                   const config::DeploymentSettings& deployment, EndpointIds* ids, OnList on_list,
-                  OnFailed on_failed, const DiscoveryClientOptions& options = {});
+                  OnFailure on_failure, const DiscoveryClientOptions& options = {});
+  ~DiscoveryClient();
+  DiscoveryClient(const DiscoveryClient&) = delete;
+  DiscoveryClient& operator=(const DiscoveryClient&) = delete;
 
   // Begins to poll; never stops. Called again it does nothing, as by later PollDiscovery actions of the
   // policy.
@@ -94,45 +98,34 @@
   void SwitchTo(const tcp::endpoint& address);
 
  private:
-  enum class State {
-    kStopped,     // before Start()
-    kConnecting,  // an exchange waits for its connection
-    kReceiving,   // an exchange waits for the rest of its response
-    kPausing,     // the timer runs until the next exchange
-  };
-
-  // One exchange.
+  // DiscoveryExchange::Owner.
+  void OnResponse(DiscoveryExchange* exchange) override;
+  void OnFailed(DiscoveryExchange* exchange) override;
+
   void Poll();
-  void ComposeRequest(bool watch, std::chrono::milliseconds wait);
-  void Connect();
-  void Send();
-  void Receive();
-  void OnBytes(error_code error, size_t size);
-  error_code ParseReceived();
-  void OnResponse();
-  std::optional<EndpointList> ParseList();
-  bool IsAcceptable(const EndpointList& list);
-  void Fail();
+  DiscoveryExchange::Request ComposeRequest() const;
+  std::optional<EndpointList> ParseList(const std::string& body);
+  bool IsAcceptable(const EndpointList& list, bool watch);
+  void EndExchange();
+  void HandleFailure(Clock::duration waited);
   void LogRecovery() const;
 
   // Time.
-  void ArmTimer(Clock::time_point when);
-  void OnTimer();
-  void AwaitBytes();
   void PollAfter(Clock::duration pause);
   Clock::duration MaxSilence() const;
   Clock::duration Backoff() const;
   Clock::duration DetectionFraction(double fraction) const { return Seconds(fraction * detection_time_s_); }
 
   const DiscoveryClientOptions options_;
+  asio::io_context& io_;
   tcp::endpoint address_;
   const config::DeploymentSettings& deployment_;
   const double detection_time_s_;
   EndpointIds* const ids_;
   const OnList on_list_;
-  const OnFailed on_failed_;
+  const OnFailure on_failure_;
 
-  State state_ = State::kStopped;
+  bool started_ = false;
   std::optional<uint64_t> index_;  // of the list as last received
   bool need_full_list_ = true;
   int failures_ = 0;  // in a row
@@ -141,17 +134,9 @@
   // When the agent last answered: what it tells later it did not have before.
   Clock::time_point last_response_at_;
 
-  // Of the exchange. Handlers that were started under another id do nothing.
-  uint64_t exchange_id_ = 0;
-  tcp::socket socket_;
-  asio::steady_timer timer_;
-  std::string request_;
-  boost::beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
-  int interim_responses_ = 0;
-  Clock::time_point began_at_{};
-  Clock::time_point response_deadline_{};
-  Clock::duration max_silence_{};  // until the next byte
+  std::shared_ptr<DiscoveryExchange> exchange_;  // null while pausing
+  tcp::socket connection_;                       // of the last exchange, for the next; or closed
+  asio::steady_timer pause_timer_;               // until the next exchange
 };
 
 }  // namespace gateway::net
