Poll discovery anew in time for a drain's grace, and still hear the overdue poll

Cause: a poll that was opened before the agent's return was waited for alone for up to 1.2 s, a bound that grew with each failure and knew nothing of the grace. Evidence: discovery_recovered of all 324 gateways says last_wait_s=1.200, at 11.9 to 12.05 s; the list went out at 10.78 s. Change: an exchange that hangs is overdue after a time that fits into the grace; the agent is polled anew beside it, and the overdue one is heard until its own time is over. Tests: LearnsADrainWithinTheGraceAfterTheAgentReturns fails before (1.24 s with graces of 0.4 and 0.5 s, 1.27 s with 0.8 s); HearsAnAgentWhoseFirstByteIsLate guards why the time-out grew.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -14,11 +14,6 @@
 constexpr int kFailuresBeforeFullList = 3;  // in a row
 constexpr int kMaxDoublings = 8;            // of backoff and silence
 
-double DetectionTime(const DiscoveryClientOptions& options, const config::DeploymentSettings& deployment) {
-  return std::clamp(deployment.drain_grace_s - deployment.connect_timeout_s - options.detection_margin_s,
-                    options.min_detection_time_s, options.max_detection_time_s);
-}
-
 }  // namespace
 
 DiscoveryClient::DiscoveryClient(asio::io_context& io, const tcp::endpoint& address,
@@ -28,7 +23,7 @@
       io_(io),
       address_(address),
       deployment_(deployment),
-      detection_time_s_(DetectionTime(options, deployment)),
+      detection_time_s_(DetectionTimeS(options, deployment.drain_grace_s, deployment.connect_timeout_s)),
       ids_(ids),
       on_list_(std::move(on_list)),
       on_failure_(std::move(on_failure)),
@@ -36,7 +31,7 @@
       connection_(io),
       pause_timer_(io) {}
 
-DiscoveryClient::~DiscoveryClient() { EndExchange(); }
+DiscoveryClient::~DiscoveryClient() { EndExchanges(); }
 
 void DiscoveryClient::Start() {
   if (started_) return;
@@ -50,14 +45,16 @@
   address_ = address;
   need_full_list_ = true;
   failures_ = 0;
-  EndExchange();
+  EndExchanges();
+  CloseSocket(connection_);
   if (started_) Poll();
 }
 
-void DiscoveryClient::EndExchange() {
-  if (exchange_ != nullptr) exchange_->Abort();
-  exchange_.reset();
-  CloseSocket(connection_);
+void DiscoveryClient::EndExchanges() {
+  for (auto* exchange : {&exchange_, &overdue_}) {
+    if (*exchange != nullptr) (*exchange)->Abort();
+    exchange->reset();
+  }
 }
 
 void DiscoveryClient::Poll() {
@@ -87,17 +84,23 @@
   return request;
 }
 
+// Of the current exchange or the overdue one.
 void DiscoveryClient::OnResponse(DiscoveryExchange* exchange) {
   std::optional<EndpointList> parsed = ParseList(exchange->body());
-  if (!parsed || !IsAcceptable(*parsed, exchange->watch())) return OnFailed(exchange);
+  bool acceptable = parsed && IsAcceptable(*parsed, exchange->watch());
+  Clock::duration waited = Clock::now() - exchange->began_at();
+  bool watch = exchange->watch();
+  connection_ = exchange->TakeConnection();
+  EndExchanges();
+  if (!acceptable) {
+    CloseSocket(connection_);
+    return HandleFailure(waited);
+  }
   EndpointList& list = *parsed;
 
   LogRecovery();
-  bool nothing_new = exchange->watch() && index_ == list.index;
-  bool early = Clock::now() - exchange->began_at() <
-               DetectionFraction(options_.watch_wait_fraction * options_.early_response_fraction);
-  connection_ = exchange->TakeConnection();
-  exchange_.reset();
+  bool nothing_new = watch && index_ == list.index;
+  bool early = waited < DetectionFraction(options_.watch_wait_fraction * options_.early_response_fraction);
   need_full_list_ = false;
   index_ = list.index;
   failures_ = 0;
@@ -110,9 +113,21 @@
   on_list_(std::move(list));
 }
 
+void DiscoveryClient::OnOverdue(DiscoveryExchange* exchange) {
+  Clock::duration waited = Clock::now() - exchange->began_at();
+  if (overdue_ == nullptr) {
+    overdue_ = std::move(exchange_);
+  } else {
+    exchange_->Abort();  // the older one may be answered sooner
+  }
+  exchange_.reset();
+  HandleFailure(waited);
+}
+
 void DiscoveryClient::OnFailed(DiscoveryExchange* exchange) {
   Clock::duration waited = Clock::now() - exchange->began_at();
-  EndExchange();
+  if (exchange == overdue_.get()) return overdue_.reset();  // it has counted as failed already
+  exchange_.reset();
   HandleFailure(waited);
 }
 
@@ -165,10 +180,11 @@
   });
 }
 
-// Longer with each failure, so that an agent that pauses longer than expected is heard all the same.
+// Longer with each failure, so that an agent that pauses longer than expected is not polled twice each time.
 Clock::duration DiscoveryClient::MaxSilence() const {
   Clock::duration silence = DetectionFraction(options_.silence_fraction);
-  return std::min(silence * (1 << std::min(failures_, kMaxDoublings)), Seconds(options_.response_timeout_s));
+  return std::min(silence * (1 << std::min(failures_, kMaxDoublings)),
+                  Seconds(MaxSilenceS(options_, detection_time_s_)));
 }
 
 Clock::duration DiscoveryClient::Backoff() const {
--- a/src/net/discovery_exchange.cpp
+++ b/src/net/discovery_exchange.cpp
@@ -116,17 +116,20 @@
 // Guards against an agent that falls silent (a hung process, or a machine that was cut off: nothing closes
 // the connection) and against one whose response never ends.
 void DiscoveryExchange::AwaitBytes() {
-  timer_.expires_at(std::min(Clock::now() + max_silence_, response_deadline_));
+  Clock::time_point silent_at = Clock::now() + max_silence_;
+  timer_.expires_at(overdue_ ? response_deadline_ : std::min(silent_at, response_deadline_));
   timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
     if (!cancelled && state_ != State::kEnded) OnTimer();
   });
 }
 
 void DiscoveryExchange::OnTimer() {
+  if (Clock::now() >= response_deadline_) return Fail();
   // Bytes that have come and are not read yet, in a busy event loop, are no silence.
-  bool overdue = Clock::now() >= response_deadline_;
-  if (!overdue && socket_.is_open() && HasUnreadBytes(socket_)) return AwaitBytes();
-  Fail();
+  if (socket_.is_open() && HasUnreadBytes(socket_)) return AwaitBytes();
+  overdue_ = true;
+  AwaitBytes();
+  owner_->OnOverdue(this);
 }
 
 }  // namespace gateway::net
--- a/src/net/discovery_exchange.h
+++ b/src/net/discovery_exchange.h
@@ -24,6 +24,9 @@
    public:
     // A complete response with status 200 has come.
     virtual void OnResponse(DiscoveryExchange* exchange) = 0;
+    // The agent has been silent for too long to go by this exchange alone. Called once. The exchange goes on
+    // until its response's time is over, unless the owner aborts it.
+    virtual void OnOverdue(DiscoveryExchange* exchange) = 0;
     // The exchange has ended without a response that can be used; its connection is closed.
     virtual void OnFailed(DiscoveryExchange* exchange) = 0;
 
@@ -85,6 +88,7 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   int interim_responses_ = 0;
   Clock::duration max_silence_;  // until the next byte
+  bool overdue_ = false;
 };
 
 }  // namespace gateway::net
--- a/tests/net/discovery_client_test.cpp
+++ b/tests/net/discovery_client_test.cpp
@@ -229,6 +229,64 @@
   EXPECT_EQ(agent.lists.size(), 2u);
 }
 
+// Discovery is silent for long and returns just after a poll has begun, which it never answers: only polls
+// that begin later are. A drain that it then has is to be learnt within the draining grace, or requests would
+// be sent to the backend past it.
+TEST(DiscoveryClient, LearnsADrainWithinTheGraceAfterTheAgentReturns) {
+  constexpr int kFailures = 5;  // past every doubling of a time-out
+  for (double drain_grace_s : {0.4, 0.5, 0.8, 2.0}) {
+    DiscoveryFixture agent(drain_grace_s);
+    agent.ReceivePoll();
+    agent.SendList(1, true, "active");
+    agent.ReceivePoll();
+    std::vector<std::unique_ptr<TestConnection>> unanswered;
+    while (agent.failed < kFailures) {
+      unanswered.push_back(std::move(agent.connection));
+      agent.AcceptConnection();
+    }
+    agent.ReceivePoll();
+    auto returned = Clock::now();
+    unanswered.push_back(std::move(agent.connection));
+    agent.AcceptConnection();
+    agent.ReceivePoll();
+    agent.SendList(2, true, "leaving");
+    ASSERT_EQ(agent.lists.size(), 2u);
+    EXPECT_LE(ToSeconds(Clock::now() - returned), drain_grace_s);
+  }
+}
+
+// The agent is crowded: it answers each poll, but its first byte comes only after twice the time in which a
+// short grace wants the agent polled anew. Its answer is to be taken all the same, or no list would ever be.
+TEST(DiscoveryClient, HearsAnAgentWhoseFirstByteIsLate) {
+  DiscoveryFixture agent(0.5);
+  agent.ReceivePoll();
+  agent.SendList(1, true, "active");
+  struct Poll {
+    std::unique_ptr<TestConnection> connection;
+    Clock::time_point answer_at;
+  };
+  constexpr auto kLate = std::chrono::milliseconds(500);
+  std::string answer =
+      OkResponse(json{{"index", 2}, {"snapshot", true}, {"endpoints", {EndpointEntry("a", 1)}}}.dump());
+  std::vector<Poll> polls;
+  agent.ReceivePoll();
+  polls.push_back({std::move(agent.connection), Clock::now() + kLate});
+  auto limit = Clock::now() + std::chrono::seconds(10);
+  agent.RunUntil([&] {
+    if (agent.listener.HasPending()) {
+      polls.push_back({agent.listener.Accept(), Clock::now() + kLate});
+    }
+    for (Poll& poll : polls) {
+      if (poll.answer_at > Clock::now()) continue;
+      poll.connection->Write(answer);
+      poll.answer_at = Clock::time_point::max();
+    }
+    return agent.lists.size() > 1 || Clock::now() > limit;
+  });
+  ASSERT_GE(agent.lists.size(), 2u);
+  EXPECT_EQ(agent.lists.back().index, 2u);
+}
+
 // SIGHUP names another agent, which accepts connections, answers nothing at first, and then does. The client
 // has to poll it again until it gets the full list.
 TEST(DiscoveryClient, PollsAgainWhereTheNewAgentIsSilent) {
