Block signals from the event loop's end to the exit, so that a second one changes nothing

Seen: a gateway that got a second SIGTERM, SIGINT or SIGHUP just as it ended had that signal in place of status 0 (docs/incidents/signal-between-event-loop-and-exit.md). Cause: the signal sets are destroyed when Run() returns or throws, which gives the signals their default action back. Change: a guard that ends before the sets blocks the three signals for the rest of the process.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -61,12 +61,29 @@
   });
 }
 
+// Blocks the gateway's signals at the end of its scope, for the rest of the process. Guards against a signal
+// after the event loop: a signal set that is destroyed gives its signals their default action back, which
+// would end the process with another status than its own.
+class SignalsBlockedFromScopeEnd {
+ public:
+  SignalsBlockedFromScopeEnd() = default;
+  ~SignalsBlockedFromScopeEnd() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  }
+  SignalsBlockedFromScopeEnd(const SignalsBlockedFromScopeEnd&) = delete;
+  SignalsBlockedFromScopeEnd& operator=(const SignalsBlockedFromScopeEnd&) = delete;
+};
+
 void Run() {
   std::string file_name = ConfigFileName();
   // Before all else, so that a signal during the start is handled after it, not by the default action.
   boost::asio::io_context io(1);
   boost::asio::signal_set shutdown_signals(io, SIGTERM, SIGINT);
   boost::asio::signal_set reload_signals(io, SIGHUP);
+  SignalsBlockedFromScopeEnd blocked_at_exit;  // after the sets, so that it ends before them
 
   config::GatewayConfig config = config::LoadGatewayConfig(file_name);
   net::Gateway gateway(io, config);
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -15,6 +16,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "support/test_connection.h"
 
@@ -83,6 +85,18 @@
     close(log_fd_);
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
   }
+  // Sends the signals in turn, one each millisecond, until the process has ended; returns as AwaitExit.
+  int SignalUntilExit(const std::vector<int>& signals) {
+    size_t sent = 0;
+    siginfo_t ended{};
+    while (ended.si_pid == 0) {
+      Signal(signals[sent++ % signals.size()]);
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      // Looked at without being reaped, so that the process keeps its id until the last signal is sent.
+      waitid(P_PID, static_cast<id_t>(pid_), &ended, WEXITED | WNOHANG | WNOWAIT);
+    }
+    return AwaitExit();
+  }
   // The most memory that was resident so far, in MB. 0 under a sanitizer, whose own memory would count.
   double PeakResidentMb() const {
 #ifdef __SANITIZE_ADDRESS__
