Close no client session that holds a request read ahead, for room or at a shutdown

Seen: a client that sends two requests at once had its connection closed after the first answer, the second read and lost: where all places are taken and a client waits, and after SIGTERM (docs/incidents/pipelined-request-closed-unanswered.md). Cause: CloseIfIdle looked at the state and the socket, not at the buffer; after SIGTERM each response ended its connection whatever lay in the buffer. Change: a session that holds bytes of its client, read or unread, is not idle, and its response is not the last one.

--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -53,9 +53,9 @@
   // Closes the connection of a client that has left.
   void Close(uint64_t connection);
 
-  // From now on each response ends its connection.
+  // From now on each response ends its connection, unless its client has sent a further request by then.
   void CloseAfterResponses() { closes_after_responses_ = true; }
-  // Closes the connections on which no request has begun, but for those with unread bytes.
+  // Closes the connections on which no request has begun, but for those with bytes of the client.
   void CloseIdle();
   // The same, and those whose request is incomplete or that linger.
   void CloseIncomplete();
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -47,7 +47,9 @@
 
 void ClientSession::Reply(Response&& response) {
   if (state_ != State::kAwaitingResponse) return;
-  Write(response, keep_alive_ && !owner_->ClosesAfterResponses());
+  // A request that has been sent ahead is served too before the connection ends.
+  bool last_response = owner_->ClosesAfterResponses() && !HoldsBytes();
+  Write(response, keep_alive_ && !last_response);
 }
 
 bool ClientSession::HasClientLeft() {
@@ -56,7 +58,7 @@
 }
 
 bool ClientSession::CloseIfIdle() {
-  if (state_ != State::kIdle || HasUnreadBytes(socket_)) return false;
+  if (state_ != State::kIdle || HoldsBytes()) return false;
   Close();
   return true;
 }
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -54,7 +54,7 @@
     // The session is closed. `request_pending`: with a request on it that was not answered, so its client has
     // left. The owner drops its reference.
     virtual void OnClosed(ClientSession* session, bool request_pending) = 0;
-    // Whether the next response is to end its connection.
+    // Whether the next response is to end its connection where no further request has been sent.
     virtual bool ClosesAfterResponses() const = 0;
 
    protected:
@@ -83,8 +83,8 @@
   // socket, since the event may be queued behind others in a busy loop.
   bool HasClientLeft();
 
-  // Closes the session if it is idle and nothing has come that was not read yet: such bytes begin
-  // a request that is to be served. Returns whether it did.
+  // Closes the session if it is idle and holds no bytes of the client, read or unread: these begin a request
+  // that is to be served. Returns whether it did.
   bool CloseIfIdle();
 
   // Closes the session if it is receiving or lingering and nothing has come that was not read yet: the rest
@@ -100,6 +100,9 @@
  private:
   enum class State { kIdle, kReceiving, kAwaitingResponse, kWriting, kLingering, kClosed };
 
+  // Whether bytes of the client have come that no answered request held: a request that is owed a response
+  // may be among them.
+  bool HoldsBytes() { return buffer_.size() > 0 || HasUnreadBytes(socket_); }
   bool IsReading() const { return state_ == State::kIdle || state_ == State::kReceiving; }
 
   void BecomeIdle();
--- a/tests/net/client_server_test.cpp
+++ b/tests/net/client_server_test.cpp
@@ -44,6 +44,30 @@
   return "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// All places are taken and one more client waits. A client has sent two requests at once; when the first is
+// answered its session is idle for a moment, with the second read and not looked at. If it were evicted to
+// make room, a request that the gateway has received would end without a response.
+TEST(ClientServer, EvictsNoSessionThatHoldsAPipelinedRequest) {
+  ClientServerFixture s(2);
+  auto pipelining = s.Connect(), other = s.Connect();
+  pipelining->Write(Post("one") + Post("two"));
+  s.RunUntil([&] { return s.requests.size() == 1; });
+  other->Write(Post("other"));
+  s.RunUntil([&] { return s.requests.size() == 2; });
+  auto waiting = s.Connect();
+  waiting->Write(Post("waiting"));
+  s.RunUntil([&] { return !s.server.HasNoConnections(); });
+  s.Reply(0, "first");
+  EXPECT_EQ(pipelining->Read().body, "first");
+  s.RunUntil([&] { return s.requests.size() == 3; });
+  ASSERT_EQ(s.requests.size(), 3u);
+  EXPECT_EQ(s.requests[2].second.body(), "two");
+  s.Reply(2, "second");
+  EXPECT_EQ(pipelining->Read().body, "second");
+  s.RunUntil([&] { return s.requests.size() == 4; });  // now there is room
+  EXPECT_EQ(s.requests[3].second.body(), "waiting");
+}
+
 // All places are taken when a client connects. One session has an incomplete request, whose last bytes are in
 // its socket but not read yet. If it were evicted a request that the gateway has received would end without a
 // response.
--- a/tests/net/graceful_shutdown_test.cpp
+++ b/tests/net/graceful_shutdown_test.cpp
@@ -24,6 +24,30 @@
   EXPECT_TRUE(connection.AwaitEnd());
 }
 
+// A client has sent two requests at once when SIGTERM comes, and the first is answered after idle connections
+// are closed. The second has been read: it is owed its response before the connection ends.
+TEST(GracefulShutdown, AnswersAPipelinedRequestBeforeTheConnectionEnds) {
+  Event arrived, released;
+  StubBackend backend([&](const HttpMessage&, TestConnection&) {
+    arrived.Add();
+    released.Wait();
+    return OkResponse("x");
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  auto client = fixture.gateway->Connect();
+  client->Write(MakeRequest("quote", 1, 3000) + MakeRequest("quote", 1, 3000));
+  EXPECT_TRUE(arrived.Wait());
+  fixture.gateway->Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));  // past the time for arrivals
+  released.Add();
+  EXPECT_EQ(client->Read().status(), 200);
+  HttpMessage second = client->Read();
+  EXPECT_TRUE(second.complete);
+  EXPECT_TRUE(second.status() == 200 || second.status() == 503) << "503: shed, as the first took so long";
+  EXPECT_EQ(second.Header("Connection"), "close");
+  EXPECT_TRUE(client->AwaitEnd());
+}
+
 // SIGTERM comes with one request in flight and another sent by half. Both have to be finished, and so has a
 // request on a connection that comes after the signal. Each response ends its connection, and the process
 // exits with 0.
