Read a plan's cap on concurrent attempts beside its rate, and decide a request by both

Cause: a request that waits asked the counter for the rate's total alone where its plan has both limits, and a cap that was never read counted as free. Evidence: a trace of each first attempt against the true quotas: 14.0% of the units sent were beyond the cap of the plan with both limits, 0.3% beyond its rate; most of those that had waited had never read the cap. Change: a waiting request is reserved in both counts and decided by both totals, the cap's call first; a cap that was not read is worth the prior. Test: WaitingRequestIsDecidedByBothQuotasOfItsPlan fails before (one call).

--- a/src/policy/admission_policy.cpp
+++ b/src/policy/admission_policy.cpp
@@ -181,8 +181,10 @@
     const InFlightRequest& waiting = in_flight_[request.id] = std::move(arrived);
     StartCheckTimer(waiting, nullptr, now_s, actions);
     tenant->waiting.push_back({request.id, request.cost_units, reserve});
+    // The cap first, as a gateway may have only one call to make: its total is out of date within the time of
+    // an attempt, that of the rate within a window.
+    counter_.ReportConcurrency(tenant, now_s, actions);
     counter_.ReportUsage(tenant, now_s, actions);
-    if (!tenant->quota.HasRateQuota()) counter_.ReportConcurrency(tenant, now_s, actions);
     if (!tenant->HasCallPending()) DecideWaiting(tenant, false, now_s, actions);
   }
 
--- a/src/policy/concurrency_quota.h
+++ b/src/policy/concurrency_quota.h
@@ -29,8 +29,9 @@
   // are exactly those last read where the reply has just come, else Poisson distributed about a mean that
   // fades from the last reply to the mean of all. `attempt_s`: how long an attempt takes.
   double ProbabilityOfRoom(int cap, double attempt_s, double now_s) const;
-  // The same for a plan with no rate quota, where this is the only limit: fades to `prior` with the reply's
-  // age. `counter_is_needed` is false where the tenant comes through one gateway alone.
+  // The same where a reply may be old or missing: fades to `prior`, the share of earlier requests that were
+  // within the tenant's quotas, with the reply's age. `counter_is_needed` is false where the tenant comes
+  // through one gateway alone.
   double ProbabilityWithinCap(int cap, double probability_of_room, double prior, bool counter_is_needed,
                               bool counter_is_silent, double now_s) const;
 
--- a/src/policy/counter_schedule.cpp
+++ b/src/policy/counter_schedule.cpp
@@ -68,7 +68,7 @@
 }
 
 void CounterSchedule::ReportConcurrency(Tenant* tenant, double now_s, Actions* actions) {
-  if (!settings_.counter_enabled || tenant->quota.plan().max_concurrent_attempts <= 0) return;
+  if (!settings_.counter_enabled || !tenant->quota.HasConcurrencyCap()) return;
   if (tenant->quota.HasSingleGateway() || tenant->concurrency_call_pending || !MayCall(now_s)) return;
   int64_t epoch = tenant->concurrency.AdvanceEpoch(now_s);
   double change = tenant->concurrency.unreported_change();
--- a/src/policy/quota_check.cpp
+++ b/src/policy/quota_check.cpp
@@ -28,11 +28,9 @@
   demand_share_.RecordDemand(&tenant->borrowed, request.cost_units, quota.tokens(), plan.burst_units, now_s);
   if (!quota.CeilingAllows(request.cost_units)) return {};
   double loss = OverQuotaLoss(plan);
-  double concurrency_probability = 1;
-  if (plan.max_concurrent_attempts > 0) {
-    concurrency_probability = tenant->concurrency.ProbabilityOfRoom(
-        plan.max_concurrent_attempts, estimator_.MeanLatencyS(request.request_class), now_s);
-    if (!quota.HasRateQuota()) return AssessConcurrency(*tenant, concurrency_probability, now_s);
+  double concurrency_probability = ProbabilityWithinCap(*tenant, request, now_s);
+  if (quota.HasConcurrencyCap() && !quota.HasRateQuota()) {
+    return AssessConcurrency(*tenant, concurrency_probability, now_s);
   }
   QuotaAssessment assessment;
   bool within = quota.HasRoom(request.cost_units, now_s) && IsWorthAdmitting(concurrency_probability, loss);
@@ -41,7 +39,8 @@
     if (!quota.IsKnown() && !IsWorthAdmitting(prior, loss)) within = false;
     double probability = quota.ProbabilityOfRoom(request.cost_units, now_s, prior,
                                                  settings_.max_request_units, counter_.IsSilent());
-    assessment.probability_within = probability * std::min(1.0, concurrency_probability);
+    // The two are strained together, and both go by the same prior: the stricter one decides.
+    assessment.probability_within = std::min(probability, concurrency_probability);
   }
   if (within) {
     assessment.decision = QuotaDecision::kWithinQuota;
@@ -52,14 +51,21 @@
   return assessment;
 }
 
-QuotaAssessment QuotaCheck::AssessConcurrency(const Tenant& tenant, double probability_of_room,
-                                              double now_s) {
+double QuotaCheck::ProbabilityWithinCap(const Tenant& tenant, const Request& request, double now_s) const {
+  const TenantQuota& quota = tenant.quota;
+  if (!quota.HasConcurrencyCap()) return 1;
+  int cap = quota.plan().max_concurrent_attempts;
+  double room =
+      tenant.concurrency.ProbabilityOfRoom(cap, estimator_.MeanLatencyS(request.request_class), now_s);
+  return tenant.concurrency.ProbabilityWithinCap(cap, room, tenant.within_quota_share,
+                                                 !quota.HasSingleGateway(), counter_.IsSilent(), now_s);
+}
+
+QuotaAssessment QuotaCheck::AssessConcurrency(const Tenant& tenant, double probability_within, double now_s) {
   const PlanSettings& plan = tenant.quota.plan();
   QuotaAssessment assessment;
-  assessment.probability_within = tenant.concurrency.ProbabilityWithinCap(
-      plan.max_concurrent_attempts, probability_of_room, tenant.within_quota_share,
-      !tenant.quota.HasSingleGateway(), counter_.IsSilent(), now_s);
-  if (IsWorthAdmitting(assessment.probability_within, OverQuotaLoss(plan))) {
+  assessment.probability_within = probability_within;
+  if (IsWorthAdmitting(probability_within, OverQuotaLoss(plan))) {
     assessment.decision = QuotaDecision::kWithinQuota;
   } else if (AllowsBorrowing(plan) && !demand_share_.IsUnderPressure(now_s)) {
     assessment.decision = QuotaDecision::kBorrowed;
--- a/src/policy/quota_check.h
+++ b/src/policy/quota_check.h
@@ -46,7 +46,9 @@
 
  private:
   // For a plan whose only limit is the cap on concurrent attempts.
-  QuotaAssessment AssessConcurrency(const Tenant& tenant, double probability_of_room, double now_s);
+  QuotaAssessment AssessConcurrency(const Tenant& tenant, double probability_within, double now_s);
+  // Probability that the tenant's cap on concurrent attempts covers one more; 1 without a cap.
+  double ProbabilityWithinCap(const Tenant& tenant, const Request& request, double now_s) const;
   // Share of requests like this one that are within the quota, from earlier lookups.
   double PriorWithinQuota(const Tenant& tenant, const Request& request, double now_s) const;
 
--- a/src/policy/tenant.cpp
+++ b/src/policy/tenant.cpp
@@ -28,19 +28,13 @@
 }  // namespace
 
 void Tenant::Reserve(double cost_units) {
-  if (quota.HasRateQuota()) {
-    quota.Charge(cost_units);
-  } else {
-    concurrency.Reserve();
-  }
+  if (quota.HasRateQuota()) quota.Charge(cost_units);
+  if (quota.HasConcurrencyCap()) concurrency.Reserve();
 }
 
 void Tenant::ReleaseReservation(double cost_units) {
-  if (quota.HasRateQuota()) {
-    quota.Charge(-cost_units);
-  } else {
-    concurrency.ReleaseReservation();
-  }
+  if (quota.HasRateQuota()) quota.Charge(-cost_units);
+  if (quota.HasConcurrencyCap()) concurrency.ReleaseReservation();
 }
 
 TenantTable::TenantTable(const Settings& settings, double gateway_started_s)
--- a/src/policy/tenant_quota.h
+++ b/src/policy/tenant_quota.h
@@ -50,6 +50,7 @@
   double ingress_gateways() const { return ingress_gateways_; }
   double created_s() const { return created_s_; }
   bool HasRateQuota() const { return plan_->rate_units_per_s > 0; }
+  bool HasConcurrencyCap() const { return plan_->max_concurrent_attempts > 0; }
   bool HasSingleGateway() const { return ingress_gateways_ < 2; }
   double tokens() const { return bucket_.tokens(); }
   double unreported_units() const { return unreported_units_; }
--- a/tests/policy/concurrency_quota_test.cpp
+++ b/tests/policy/concurrency_quota_test.cpp
@@ -1,6 +1,9 @@
 // A tenant's attempts in flight over the fleet, and the cap on them.
 #include <gtest/gtest.h>
 
+#include <variant>
+#include <vector>
+
 #include "support/policy_fixture.h"
 
 namespace gateway::policy {
@@ -69,5 +72,30 @@
   }
 }
 
+// The plan has a cap beside its quota on the rate, and other gateways have attempts of the tenant in flight.
+// A request that waits for the rate's total alone would be forwarded beyond the cap, which is priced as
+// beyond the quota. It is decided by both totals.
+TEST(ConcurrencyQuota, WaitingRequestIsDecidedByBothQuotasOfItsPlan) {
+  Settings settings = MakeLargeFleetSettings();
+  settings.plans[0].max_concurrent_attempts = 2;
+  for (double attempts : {2.0, 3.0}) {  // with the waiting request
+    PolicyFixture gateway(settings);
+    gateway.Arrive({.cost_units = 1, .ingress_gateways = 100});
+    EXPECT_FALSE(gateway.Forwarded());
+    std::vector<CallCounter> calls;
+    for (const Action& action : gateway.actions()) {
+      if (const auto* call = std::get_if<CallCounter>(&action)) calls.push_back(*call);
+    }
+    ASSERT_EQ(calls.size(), 2u);
+    EXPECT_EQ(calls[0].amount, 1) << "the cap first";
+    gateway.Advance(0.004);
+    gateway.ReplyFromCounter(calls[0].key, attempts);
+    EXPECT_FALSE(gateway.Forwarded() || gateway.Rejected()) << "the rate's total has not come";
+    gateway.ReplyFromCounter(calls[1].key, 5);
+    EXPECT_EQ(gateway.Forwarded(), attempts <= 2);
+    EXPECT_EQ(gateway.Rejected(), attempts > 2);
+  }
+}
+
 }  // namespace
 }  // namespace gateway::policy
