Log how many requests ended by which rule, one line a second at most

Change: RejectRequest carries its reason; RejectionLog counts the ends by cause and writes requests_ended with the counts since the last line and the last client's id.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -100,7 +100,7 @@
   discovery_.Start();
 }
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway() { rejection_log_.Flush(); }
 
 void Gateway::Reload(const config::GatewayConfig& fresh) {
   config::CheckSameGateway(config_, fresh);
@@ -169,6 +169,7 @@
 }
 
 void Gateway::Execute(const policy::RejectRequest& action) {
+  CountEnd(RejectionLog::CauseOf(action.reason), action.request_id);
   bool retry_after = action.retry_after_s > 0;
   Response response =
       StatusResponse(retry_after ? http::status::too_many_requests : http::status::service_unavailable);
@@ -177,6 +178,7 @@
 }
 
 void Gateway::Execute(const policy::FailRequest& action) {
+  CountEnd(RejectionLog::Cause::kFailed, action.request_id);
   Answer(action.request_id, StatusResponse(http::status::bad_gateway));
 }
 
@@ -203,7 +205,10 @@
     return AnswerAdminRequest(connection, target);
   }
   // The client may have gone long before a busy event loop gets here; the connection's end is read next.
-  if (server_.HasClientLeft(connection)) return;
+  if (server_.HasClientLeft(connection)) {
+    std::string_view id = ToStringView(message[kRequestIdField]);
+    return rejection_log_.Count(RejectionLog::Cause::kClientLeft, id, Clock::now());
+  }
 
   RequestParseResult result = ParseClientRequest(message, config_);
   if (const auto* status = std::get_if<http::status>(&result)) return ReplyStatus(connection, *status);
@@ -213,7 +218,10 @@
   }
   if (shutdown_.state() == GracefulShutdown::State::kDraining) {
     parsed.timeout_s = std::min(parsed.timeout_s, shutdown_.TimeForAnswer());
-    if (parsed.timeout_s <= 0) return ReplyStatus(connection, http::status::service_unavailable);
+    if (parsed.timeout_s <= 0) {
+      rejection_log_.Count(RejectionLog::Cause::kShutdown, parsed.client_request_id, Clock::now());
+      return ReplyStatus(connection, http::status::service_unavailable);
+    }
   }
   StartRequest(connection, &message, parsed);
 }
@@ -228,6 +236,13 @@
   server_.Reply(connection, StatusResponse(status));
 }
 
+// A request that has its answer already is not counted.
+void Gateway::CountEnd(RejectionLog::Cause cause, uint32_t request_id) {
+  const InFlightRequest* request = requests_.Find(request_id);
+  if (request == nullptr || request->answered) return;
+  rejection_log_.Count(cause, request->client_request_id, Clock::now());
+}
+
 void Gateway::StartRequest(uint64_t connection, ClientRequest* message, const ParsedRequest& parsed) {
   double margin_s = std::min(kAnswerMarginS, kAnswerMarginFraction * parsed.timeout_s);
   uint32_t id = requests_.Add(connection, parsed.client_request_id);
@@ -264,6 +279,7 @@
   if (!had_unanswered_request) return;
   std::optional<uint32_t> id = requests_.FindUnanswered(connection);
   if (!id) return;
+  CountEnd(RejectionLog::Cause::kClientLeft, *id);
   requests_.MarkAnswered(*id);
   DropUnsentAttempts(*id);
   NotifyPolicy([&](AdmissionPolicy& policy, double now_s, Actions* actions) {
@@ -356,6 +372,7 @@
 void Gateway::OnRequestDeadline(uint32_t request_id) {
   InFlightRequest* request = requests_.Find(request_id);
   if (request == nullptr || request->answered) return;
+  CountEnd(RejectionLog::Cause::kDeadline, request_id);
   bool harmless = request->idempotent || (!request->may_have_run && !request->HasAttemptInFlight());
   Answer(request_id,
          StatusResponse(harmless ? http::status::service_unavailable : http::status::gateway_timeout));
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -16,6 +16,7 @@
 #include "net/endpoint_list.h"
 #include "net/graceful_shutdown.h"
 #include "net/in_flight_requests.h"
+#include "net/rejection_log.h"
 #include "net/request_parser.h"
 #include "net/timer_queue.h"
 #include "policy/admission_policy.h"
@@ -61,6 +62,7 @@
   void OnConnectionClosed(uint64_t connection, bool had_unanswered_request);
   void AnswerAdminRequest(uint64_t connection, std::string_view target);
   void ReplyStatus(uint64_t connection, http::status status);
+  void CountEnd(RejectionLog::Cause cause, uint32_t request_id);
   void StartRequest(uint64_t connection, ClientRequest* message,
                     const ParsedRequest& parsed);  // takes the body
   void Answer(uint32_t request_id, Response response);
@@ -93,6 +95,7 @@
   InFlightRequests requests_;
   TimerQueue timers_;
   GracefulShutdown shutdown_;
+  RejectionLog rejection_log_;
   bool ready_ = false;  // discovery has given a list, or failed once
   // The request for which the policy's OnRequest is being called. Its client was there a moment ago.
   uint32_t arriving_request_id_ = kNoRequest;
--- a/src/policy/actions.h
+++ b/src/policy/actions.h
@@ -21,10 +21,20 @@
   int attempt = 0;
 };
 
+// The rule by which a request is rejected.
+enum class RejectReason {
+  kInvalid,    // too little time left, or what the settings do not allow
+  kOverQuota,  // quota_check
+  kOverload,   // load_shedder
+  kNoBackend,  // endpoint_selector: none may be used
+  kGivenUp,    // retry_policy: no further attempt is allowed, or none would end in time
+};
+
 // Final answer: the request had no effect, or repeating it has none, so that it may be sent again.
 struct RejectRequest {
   uint32_t request_id = 0;
   double retry_after_s = 0;  // 0: no Retry-After
+  RejectReason reason = RejectReason::kInvalid;
 };
 
 // Final answer: the request may have had an effect.
--- a/src/policy/admission_policy.cpp
+++ b/src/policy/admission_policy.cpp
@@ -66,10 +66,10 @@
   void OnRequest(double now_s, const Request& request, Actions* actions) {
     tenants_.RemoveIdle(now_s);
     if (in_flight_.count(request.id) != 0) return;
-    if (!IsValidRequest(request, settings_)) return Reject(request.id, actions);
+    if (!IsValidRequest(request, settings_)) return Reject(request.id, RejectReason::kInvalid, actions);
     Tenant& tenant = tenants_.RecordRequest(request, now_s);
     // A tenant has one plan: its quotas were set up by the plan of its first request.
-    if (tenant.plan_index != request.plan) return Reject(request.id, actions);
+    if (tenant.plan_index != request.plan) return Reject(request.id, RejectReason::kInvalid, actions);
     QuotaAssessment assessment = quota_check_.Assess(&tenant, request, now_s);
     load_shedder_.RecordArrival(request);
     if (quota_check_.IsLookupWorthwhile(tenant, request, assessment, now_s)) {
@@ -139,21 +139,24 @@
   }
 
  private:
-  void Reject(uint32_t request_id, Actions* actions) { actions->push_back(RejectRequest{request_id, 0}); }
+  void Reject(uint32_t request_id, RejectReason reason, Actions* actions) {
+    actions->push_back(RejectRequest{request_id, 0, reason});
+  }
   // 429 on sockets; where the settings allow no Retry-After it cannot be told from other rejections.
   void RejectOverQuota(uint32_t request_id, Actions* actions) {
     double retry_after_s = settings_.retry_after_enabled ? settings_.max_retry_after_s : 0;
-    actions->push_back(RejectRequest{request_id, retry_after_s});
+    actions->push_back(RejectRequest{request_id, retry_after_s, RejectReason::kOverQuota});
   }
 
   void ForwardOrShed(Tenant* tenant, const Request& request, QuotaDecision decision, double now_s,
                      Actions* actions) {
     InFlightRequest arrived(request, now_s);
     bool within_quota = decision == QuotaDecision::kWithinQuota;
-    Backend* backend = SelectUnlessShed(arrived, !within_quota, now_s);
+    bool shed = load_shedder_.ShouldShed(request, !within_quota, endpoints_, now_s);
+    Backend* backend = SelectUnlessShed(arrived, shed, now_s);
     if (backend == nullptr) {
       if (within_quota) demand_share_.RecordPressure(now_s);
-      return Reject(request.id, actions);
+      return Reject(request.id, shed ? RejectReason::kOverload : RejectReason::kNoBackend, actions);
     }
     InFlightRequest& admitted = in_flight_[request.id] = std::move(arrived);
     Charge(tenant, &admitted, within_quota);
@@ -163,8 +166,7 @@
   }
 
   // Under overload only a backend that warms up, and has budget left, still gets the request.
-  Backend* SelectUnlessShed(const InFlightRequest& request, bool borrowed, double now_s) {
-    bool shed = load_shedder_.ShouldShed(request.request, borrowed, endpoints_, now_s);
+  Backend* SelectUnlessShed(const InFlightRequest& request, bool shed, double now_s) {
     auto candidates = shed ? EndpointSelector::Candidates::kWarmingUp : EndpointSelector::Candidates::kAll;
     return selector_.Select(request, now_s, candidates);
   }
@@ -174,7 +176,7 @@
     InFlightRequest arrived(request, now_s);
     bool shed = load_shedder_.ShouldShed(request, false, endpoints_, now_s);
     if (shed && selector_.Select(arrived, now_s, EndpointSelector::Candidates::kWarmingUp) == nullptr) {
-      return Reject(request.id, actions);
+      return Reject(request.id, RejectReason::kOverload, actions);
     }
     bool reserve = assessment.probability_within >= kReserveProbability;
     if (reserve) tenant->Reserve(request.cost_units);
@@ -210,7 +212,7 @@
       if (decision == QuotaDecision::kOverQuota) {
         RejectOverQuota(entry.request_id, actions);
       } else {
-        Reject(entry.request_id, actions);  // no backend may be used
+        Reject(entry.request_id, RejectReason::kNoBackend, actions);
       }
       in_flight_.erase(it);
     }
@@ -329,7 +331,7 @@
   // The final answer where no attempt has brought one.
   void FinishWithoutResponse(InFlightRequest* request, Actions* actions) {
     if (retry_policy_.MayReject(*request)) {
-      Reject(request->request.id, actions);
+      Reject(request->request.id, RejectReason::kGivenUp, actions);
     } else {
       actions->push_back(FailRequest{request->request.id});
     }
