Keep the gateway's own response fields from clients in any spelling

Seen, by reading: a backend that writes x-cost-units or SERVER-LOAD, or Not-Started with a 200, had them passed on to clients. Cause: names compared byte by byte (RFC 9110, 5.1: no case), and Not-Started not among them. Test: KeepsFieldsForTheGatewayFromClientsInAnySpelling fails before for all three names.

--- a/src/net/attempt_result.cpp
+++ b/src/net/attempt_result.cpp
@@ -23,8 +23,11 @@
   return sound ? std::min(units, kMaxReportedCostUnits) : 0;
 }
 
-bool IsForGatewayOnly(std::string_view field_name) {
-  return field_name == kActualCostField || field_name == kLoadReportField;
+// Field names know no case (RFC 9110, 5.1).
+bool IsForGatewayOnly(boost::beast::string_view field_name) {
+  return boost::beast::iequals(field_name, kActualCostField) ||
+         boost::beast::iequals(field_name, kLoadReportField) ||
+         boost::beast::iequals(field_name, kNotStartedField);
 }
 
 }  // namespace
@@ -41,7 +44,7 @@
   end.result = CallResult::kOk;
   end.actual_cost_units = ParseCostUnits(ToStringView((*response)[kActualCostField]));
   AppendEndToEnd(*response, &end.headers,
-                 [](const auto& field) { return IsForGatewayOnly(ToStringView(field.name_string())); });
+                 [](const auto& field) { return IsForGatewayOnly(field.name_string()); });
   end.body = std::move(response->body());
   return end;
 }
--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -58,6 +58,21 @@
   ExpectConnectionsReused(*client, backend);
 }
 
+// Field names know no case. A backend that spells the fields that are for the gateway alone in another way,
+// or sends Not-Started with a response of its own, must not show clients what a request cost or how busy it
+// is.
+TEST(Gateway, KeepsFieldsForTheGatewayFromClientsInAnySpelling) {
+  StubBackend backend(RespondsWith(OkResponse(
+      "x", "x-cost-units: 2\r\nSERVER-LOAD: {\"queue\":1}\r\nNot-Started: 1\r\nX-Note: kept\r\n")));
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  HttpMessage response = Exchange(*fixture.gateway->Connect(), MakeRequest("quote"));
+  EXPECT_EQ(response.status(), 200);
+  EXPECT_EQ(response.Header("X-Note"), "kept");
+  for (const char* name : {"x-cost-units", "SERVER-LOAD", "Not-Started"}) {
+    EXPECT_EQ(response.head.find(name), std::string::npos) << name;
+  }
+}
+
 // A second request comes with the id of one that is still in flight. If both were forwarded, a backend could
 // take the second for a repeat of the first, and one client would get the other's response. The id is free
 // again once the first request is answered and none of its attempts is in flight.
