Count attempts beyond a cap as borrowed where the plan borrows

Seen, by reading: beyond its cap a borrowing plan's attempts counted as within the quota, and so were not the first to be rejected under overload (docs/incidents/borrowing-beyond-a-cap.md). Cause: worth admitting stood for within the cap, and admitting always pays where the loss is below zero. Change: for such plans a request is within the cap where that is the likelier; else it is borrowed. Test: AttemptsBeyondACapAreBorrowed fails before (rejected as overload, not as over quota).

--- a/src/policy/quota_check.cpp
+++ b/src/policy/quota_check.cpp
@@ -10,6 +10,7 @@
 // Requests are looked up where the gain is worth the price, times a random factor from this up to one more,
 // so that gateways which see the same do not all ask at once.
 constexpr double kMinGainFactor = 0.5;
+constexpr double kLikelyWithin = 0.5;
 // Share of the quota's rate, asked for through all gateways, up to which the prior holds as it is.
 constexpr double kPriorDemandShare = 0.5;
 
@@ -19,6 +20,13 @@
   return probability_within * (1 + loss) >= loss;
 }
 
+// Whether a request counts as within the cap on concurrent attempts. Where the plan borrows, admitting always
+// pays, and says nothing of the cap: the request is within it where that is the likelier.
+bool CountsAsWithinCap(double probability_within, const PlanSettings& plan) {
+  if (AllowsBorrowing(plan)) return probability_within >= kLikelyWithin;
+  return IsWorthAdmitting(probability_within, OverQuotaLoss(plan));
+}
+
 }  // namespace
 
 QuotaAssessment QuotaCheck::Assess(Tenant* tenant, const Request& request, double now_s) {
@@ -33,7 +41,7 @@
     return AssessConcurrency(*tenant, concurrency_probability, now_s);
   }
   QuotaAssessment assessment;
-  bool within = quota.HasRoom(request.cost_units, now_s) && IsWorthAdmitting(concurrency_probability, loss);
+  bool within = quota.HasRoom(request.cost_units, now_s) && CountsAsWithinCap(concurrency_probability, plan);
   if (!quota.HasSingleGateway()) {
     double prior = PriorWithinQuota(*tenant, request, now_s);
     if (!quota.IsKnown() && !IsWorthAdmitting(prior, loss)) within = false;
@@ -65,7 +73,7 @@
   const PlanSettings& plan = tenant.quota.plan();
   QuotaAssessment assessment;
   assessment.probability_within = probability_within;
-  if (IsWorthAdmitting(probability_within, OverQuotaLoss(plan))) {
+  if (CountsAsWithinCap(probability_within, plan)) {
     assessment.decision = QuotaDecision::kWithinQuota;
   } else if (AllowsBorrowing(plan) && !demand_share_.IsUnderPressure(now_s)) {
     assessment.decision = QuotaDecision::kBorrowed;
--- a/tests/policy/demand_share_test.cpp
+++ b/tests/policy/demand_share_test.cpp
@@ -70,5 +70,25 @@
   EXPECT_LE(forwarded, 14);
 }
 
+// A soft plan has a cap on concurrent attempts and no quota on the rate. What it sends beyond the cap is
+// borrowed: were it taken for within the quota, it would not be the first to be rejected under pressure.
+TEST(DemandShare, AttemptsBeyondACapAreBorrowed) {
+  Settings settings = MakePlanSettings(kSoftPlan);
+  settings.plans[0].rate_units_per_s = 0;
+  settings.plans[0].burst_units = 0;
+  settings.plans[0].max_concurrent_attempts = 2;
+  PolicyFixture gateway(settings);
+  const uint32_t slow = gateway.Arrive({.tenant = 77});
+  gateway.Advance(settings.classes[0].latency_objective_s + 0.1);
+  for (int i = 0; i < 3; ++i) {
+    gateway.Arrive();
+    EXPECT_TRUE(gateway.Forwarded()) << "the third is borrowed";
+  }
+  gateway.CompleteAttempt(slow, CallResult::kOk);  // past its latency objective: there is pressure
+  gateway.Arrive();
+  ASSERT_TRUE(gateway.Rejected());
+  EXPECT_EQ(gateway.Find<RejectRequest>()->reason, RejectReason::kOverQuota);
+}
+
 }  // namespace
 }  // namespace gateway::policy
