Let a timer of discovery that was superseded in the queue do nothing

Cause, by reading: a timer handler that is queued when bytes are read cannot be cancelled, and took the wait armed after it for its own: an exchange overdue in the moment in which it was answered, or a pause cut short. No test: the order of two handlers in one turn of the event loop cannot be forced.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -176,7 +176,8 @@
 void DiscoveryClient::PollAfter(Clock::duration pause) {
   pause_timer_.expires_after(pause);
   pause_timer_.async_wait([this](error_code cancelled) {
-    if (!cancelled && exchange_ == nullptr) Poll();
+    bool superseded = exchange_ != nullptr || Clock::now() < pause_timer_.expiry();
+    if (!cancelled && !superseded) Poll();
   });
 }
 
