--- a/src/net/timer_queue.cpp
+++ b/src/net/timer_queue.cpp
@@ -1,6 +1,16 @@
 #include "net/timer_queue.h"
 
+#include <chrono>
+#include <cstdio>
+
 namespace gateway::net {
+namespace {
+
+// The pages' measure of a gateway that is held up (STANDING).
+constexpr auto kLate = std::chrono::milliseconds(150);
+constexpr auto kLateLineInterval = std::chrono::seconds(1);
+
+}  // namespace
 
 void TimerQueue::AddRequestDeadline(Clock::time_point due, uint32_t request_id) {
   Add({due, Kind::kRequestDeadline, request_id});
@@ -25,8 +35,9 @@
 // Takes all that are due off the queue before the first is handled: a timer that a handler adds for now waits
 // for the next wake-up, so that handlers which keep adding such timers cannot hold the event loop.
 void TimerQueue::RunDue() {
-  armed_for_.reset();
   auto now = Clock::now();
+  LogIfLate(now);
+  armed_for_.reset();
   std::vector<Entry> due;
   while (!entries_.empty() && entries_.top().due <= now) {
     due.push_back(entries_.top());
@@ -42,4 +53,12 @@
   handler_->OnTimersHandled();
 }
 
+// A process that stood still reads requests late and counts their time from then: at night, the sign that an
+// answer came late, or never, through no rule of the gateway.
+void TimerQueue::LogIfLate(Clock::time_point now) {
+  if (!armed_for_ || now - *armed_for_ < kLate || now < next_late_line_at_) return;
+  next_late_line_at_ = now + kLateLineInterval;
+  std::fprintf(stderr, "event_loop_late late_s=%.3f\n", ToSeconds(now - *armed_for_));
+}
+
 }  // namespace gateway::net
--- a/src/net/timer_queue.h
+++ b/src/net/timer_queue.h
@@ -45,11 +45,13 @@
   void Add(const Entry& entry);
   void Arm();
   void RunDue();
+  void LogIfLate(Clock::time_point now);
 
   Handler* const handler_;
   std::priority_queue<Entry, std::vector<Entry>, std::greater<>> entries_;  // the next due on top
   asio::steady_timer timer_;
   std::optional<Clock::time_point> armed_for_;
+  Clock::time_point next_late_line_at_{};
 };
 
 }  // namespace gateway::net
--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -1,6 +1,7 @@
 // Requests through a running gateway: forwarding, attempts at backends, and the answers to clients.
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <memory>
 #include <string>
@@ -73,6 +74,29 @@
   }
 }
 
+// The process stands still past a request's deadline, so that its answer is late through no rule of the
+// gateway. The log has to tell that apart from an answer that a rule gave late.
+TEST(Gateway, LogsThatItStoodStill) {
+  Event arrived, released;
+  StubBackend backend([&](const HttpMessage&, TestConnection&) {
+    arrived.Add();
+    released.Wait();
+    return OkResponse("x");
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  auto client = fixture.gateway->Connect();
+  client->Write(MakeRequest("quote", 1, 300));
+  EXPECT_TRUE(arrived.Wait());
+  fixture.gateway->Signal(SIGSTOP);
+  std::this_thread::sleep_for(std::chrono::milliseconds(800));
+  fixture.gateway->Signal(SIGCONT);
+  EXPECT_NE(client->Read().status(), 0);
+  released.Add();
+  fixture.gateway->Signal(SIGTERM);
+  EXPECT_EQ(fixture.gateway->AwaitExit(), 0);
+  EXPECT_NE(fixture.gateway->log.find("event_loop_late late_s="), std::string::npos);
+}
+
 // A second request comes with the id of one that is still in flight. If both were forwarded, a backend could
 // take the second for a repeat of the first, and one client would get the other's response. The id is free
 // again once the first request is answered and none of its attempts is in flight.
