Report the end of an attempt after the pause, and take the cap's prior from the demand

Cause: the end of an attempt that fell into the pause between calls was reported only with the tenant's next request there, so that the cap stayed taken at the counter. Change: such a change is reported when the pause is over; a cap that was not read is worth the prior less what the tenant's demand fills of it by Little's law, as the rate's prior already did. Test: EndOfAnAttemptIsReportedWhenThePauseIsOver fails with the report taken out.

--- a/src/policy/admission_policy.cpp
+++ b/src/policy/admission_policy.cpp
@@ -115,6 +115,7 @@
       actions->push_back(PollDiscovery{});
       return;
     }
+    if (tag == CounterSchedule::kPauseOverTag) return counter_.ReportDeferred(&tenants_, now_s, actions);
     auto it = in_flight_.find(static_cast<uint32_t>(tag));
     if (it == in_flight_.end() || it->second.finished || it->second.response_started) return;
     InFlightRequest& request = it->second;
--- a/src/policy/counter_schedule.cpp
+++ b/src/policy/counter_schedule.cpp
@@ -69,15 +69,39 @@
 
 void CounterSchedule::ReportConcurrency(Tenant* tenant, double now_s, Actions* actions) {
   if (!settings_.counter_enabled || !tenant->quota.HasConcurrencyCap()) return;
-  if (tenant->quota.HasSingleGateway() || tenant->concurrency_call_pending || !MayCall(now_s)) return;
+  if (tenant->quota.HasSingleGateway() || tenant->concurrency_call_pending) return;
   int64_t epoch = tenant->concurrency.AdvanceEpoch(now_s);
   double change = tenant->concurrency.unreported_change();
   if (change == 0 && tenant->waiting.empty()) return;
+  if (!MayCall(now_s)) return DeferConcurrencyReport(tenant, now_s, actions);
   Call call{Call::Kind::kConcurrency, tenant->id, epoch, change, now_s};
   tenant->concurrency_call_pending =
       StartCall(call, kConcurrencyExpiryEpochs * ConcurrencyQuota::kEpochS, actions);
 }
 
+void CounterSchedule::DeferConcurrencyReport(Tenant* tenant, double now_s, Actions* actions) {
+  if (tenant->concurrency_report_deferred) return;
+  tenant->concurrency_report_deferred = true;
+  deferred_.push_back(tenant->id);
+  if (deferred_.size() == 1) StartPauseTimer(now_s, actions);
+}
+
+void CounterSchedule::StartPauseTimer(double now_s, Actions* actions) {
+  double delay_s = std::max(settings_.timer_resolution_s, next_call_s_ - now_s);
+  actions->push_back(StartTimer{delay_s, kPauseOverTag});
+}
+
+void CounterSchedule::ReportDeferred(TenantTable* tenants, double now_s, Actions* actions) {
+  while (!deferred_.empty() && MayCall(now_s)) {
+    Tenant* tenant = tenants->Find(deferred_.front());
+    deferred_.pop_front();
+    if (tenant == nullptr) continue;
+    tenant->concurrency_report_deferred = false;
+    ReportConcurrency(tenant, now_s, actions);
+  }
+  if (!deferred_.empty()) StartPauseTimer(now_s, actions);
+}
+
 bool CounterSchedule::StartCall(const Call& call, double expiry_s, Actions* actions) {
   uint64_t key = CounterKey(call);
   if (!pending_.try_emplace(key, call).second) return false;
--- a/src/policy/counter_schedule.h
+++ b/src/policy/counter_schedule.h
@@ -3,6 +3,7 @@
 #define GATEWAY_POLICY_COUNTER_SCHEDULE_H_
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 
@@ -21,6 +22,9 @@
 // counts as silent, until one call succeeds. Meanwhile quotas fall back to this gateway's part (TenantQuota),
 // and the calls that are due go out one by one, far apart.
 //
+// A change of the attempts in flight that falls into the pause is reported when it is over, and not with the
+// tenant's next request: a total that lacks the end of an attempt would keep the cap taken for seconds.
+//
 // Invariants: at most one call of each kind is pending for a tenant, and one for each counter key; every call
 // made gets one reply.
 class CounterSchedule {
@@ -56,6 +60,13 @@
   void ReportUsage(Tenant* tenant, double now_s, Actions* actions);
   void ReportConcurrency(Tenant* tenant, double now_s, Actions* actions);
 
+  // Makes the calls of ReportConcurrency() that the pause held back, as far as it is over now. To be called
+  // when the timer with kPauseOverTag fires.
+  void ReportDeferred(TenantTable* tenants, double now_s, Actions* actions);
+
+  // Tag of the timer that ReportConcurrency() starts.
+  static constexpr uint64_t kPauseOverTag = 1ULL << 41;
+
   // Ends the pending call of this key; none where there is no such call.
   std::optional<Call> TakePending(uint64_t key);
   // Applies the reply of a call taken before to price, silence and the tenant's quotas.
@@ -70,6 +81,8 @@
   // In the unit of Settings::counter_call_price, as every price here.
   double CongestionPrice() const { return congestion_ - kMinCongestion; }
   double UnreportedShare() const;
+  void DeferConcurrencyReport(Tenant* tenant, double now_s, Actions* actions);
+  void StartPauseTimer(double now_s, Actions* actions);
   // False where a call of the same key is pending.
   bool StartCall(const Call& call, double expiry_s, Actions* actions);
   void UpdatePrice(const Call& call, CallResult result, double now_s, Actions* actions);
@@ -79,6 +92,7 @@
 
   const Settings& settings_;
   std::unordered_map<uint64_t, Call> pending_;  // by counter key
+  std::deque<uint64_t> deferred_;               // tenants whose change of attempts waits for the pause
   double next_call_s_ = 0;
   double congestion_ = kMinCongestion;
   int failures_in_a_row_ = 0;
--- a/src/policy/quota_check.cpp
+++ b/src/policy/quota_check.cpp
@@ -11,7 +11,8 @@
 // so that gateways which see the same do not all ask at once.
 constexpr double kMinGainFactor = 0.5;
 constexpr double kLikelyWithin = 0.5;
-// Share of the quota's rate, asked for through all gateways, up to which the prior holds as it is.
+// Share of the quota's rate, or of the cap, asked for through all gateways, up to which the prior holds as it
+// is.
 constexpr double kPriorDemandShare = 0.5;
 
 // Admitting pays off where the expected value p is at least the expected loss (1 - p) x loss. Always so for a
@@ -65,7 +66,7 @@
   int cap = quota.plan().max_concurrent_attempts;
   double room =
       tenant.concurrency.ProbabilityOfRoom(cap, estimator_.MeanLatencyS(request.request_class), now_s);
-  return tenant.concurrency.ProbabilityWithinCap(cap, room, tenant.within_quota_share,
+  return tenant.concurrency.ProbabilityWithinCap(cap, room, PriorWithinCap(tenant, request, now_s),
                                                  !quota.HasSingleGateway(), counter_.IsSilent(), now_s);
 }
 
@@ -81,14 +82,27 @@
   return assessment;
 }
 
+double QuotaCheck::FleetDemandUnitsPerS(const Tenant& tenant, const Request& request, double now_s) {
+  return (tenant.requested_units - request.cost_units) * tenant.quota.ingress_gateways() /
+         (now_s - tenant.quota.created_s() + TenantTable::kMinIdleS);
+}
+
 double QuotaCheck::PriorWithinQuota(const Tenant& tenant, const Request& request, double now_s) const {
-  const TenantQuota& quota = tenant.quota;
-  // What the tenant asks for here, taken to be the same at each of its ingress gateways.
-  double demand_units_per_s = (tenant.requested_units - request.cost_units) * quota.ingress_gateways() /
-                              (now_s - quota.created_s() + TenantTable::kMinIdleS);
   double excess = 0;
   if (!counter_.IsSilent()) {
-    excess = std::max(0.0, demand_units_per_s / quota.plan().rate_units_per_s - kPriorDemandShare);
+    double demand_units_per_s = FleetDemandUnitsPerS(tenant, request, now_s);
+    excess = std::max(0.0, demand_units_per_s / tenant.quota.plan().rate_units_per_s - kPriorDemandShare);
+  }
+  return tenant.within_quota_share / (1 + excess);
+}
+
+double QuotaCheck::PriorWithinCap(const Tenant& tenant, const Request& request, double now_s) const {
+  double excess = 0;
+  if (!counter_.IsSilent() && !tenant.quota.HasSingleGateway()) {
+    // By Little's law, from requests of this size.
+    double requests_per_s = FleetDemandUnitsPerS(tenant, request, now_s) / request.cost_units;
+    double attempts = requests_per_s * estimator_.MeanLatencyS(request.request_class);
+    excess = std::max(0.0, attempts / tenant.quota.plan().max_concurrent_attempts - kPriorDemandShare);
   }
   return tenant.within_quota_share / (1 + excess);
 }
--- a/src/policy/quota_check.h
+++ b/src/policy/quota_check.h
@@ -49,6 +49,10 @@
   QuotaAssessment AssessConcurrency(const Tenant& tenant, double probability_within, double now_s);
   // Probability that the tenant's cap on concurrent attempts covers one more; 1 without a cap.
   double ProbabilityWithinCap(const Tenant& tenant, const Request& request, double now_s) const;
+  // What the tenant asks for here, before this request, taken to be the same at each of its ingress gateways.
+  static double FleetDemandUnitsPerS(const Tenant& tenant, const Request& request, double now_s);
+  // Share of requests like this one that are within the cap, where it was not read.
+  double PriorWithinCap(const Tenant& tenant, const Request& request, double now_s) const;
   // Share of requests like this one that are within the quota, from earlier lookups.
   double PriorWithinQuota(const Tenant& tenant, const Request& request, double now_s) const;
 
--- a/src/policy/tenant.h
+++ b/src/policy/tenant.h
@@ -40,7 +40,8 @@
   double within_quota_share;   // of its requests that waited for the counter, those within the quota
   bool usage_call_pending = false;
   bool concurrency_call_pending = false;
-  std::vector<WaitingRequest> waiting;  // first come, first decided
+  bool concurrency_report_deferred = false;  // until the pause between calls is over
+  std::vector<WaitingRequest> waiting;       // first come, first decided
 };
 
 // Owns the tenants. References stay valid until RemoveIdle removes their tenant.
--- a/tests/policy/counter_schedule_test.cpp
+++ b/tests/policy/counter_schedule_test.cpp
@@ -1,7 +1,11 @@
 // Calls to the shared counter: which are made, what they add, how often, and what happens when they fail.
+#include "policy/counter_schedule.h"
+
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <variant>
+#include <vector>
 
 #include "support/policy_fixture.h"
 
@@ -192,5 +196,35 @@
   EXPECT_EQ(rejected, 0);
 }
 
+// The counter is overloaded, so that a gateway pauses between calls, and an attempt of a tenant with a cap
+// ends in such a pause. Were its end reported with the tenant's next request only, the cap would stay taken
+// for all gateways until then. It is reported when the pause is over.
+TEST(CounterSchedule, EndOfAnAttemptIsReportedWhenThePauseIsOver) {
+  Settings settings = MakeLargeFleetSettings();
+  settings.plans[0].max_concurrent_attempts = 2;
+  PolicyFixture gateway(settings);
+  const uint32_t request = gateway.Arrive({.ingress_gateways = 100});
+  std::vector<uint64_t> keys;
+  for (const Action& action : gateway.actions()) {
+    if (const auto* call = std::get_if<CallCounter>(&action)) keys.push_back(call->key);
+  }
+  ASSERT_EQ(keys.size(), 2u);
+  gateway.ReplyFromCounter(keys[0], 1);
+  gateway.ReplyFromCounter(keys[1], 5);
+  ASSERT_TRUE(gateway.Forwarded());
+  for (uint64_t tenant = 100; tenant < 200; ++tenant) {  // each call of another tenant fails
+    gateway.Arrive({.tenant = tenant, .ingress_gateways = 100});
+    const auto* call = gateway.Find<CallCounter>();
+    if (call != nullptr) gateway.FailCounterCall(call->key, CallResult::kRejected);
+  }
+  gateway.CompleteAttempt(request, CallResult::kOk);
+  EXPECT_EQ(gateway.Find<CallCounter>(), nullptr) << "in the pause";
+  for (int i = 0; i < 20 && gateway.Find<CallCounter>() == nullptr; ++i) {
+    gateway.Advance(0.4);
+    gateway.FireTimer(CounterSchedule::kPauseOverTag);
+  }
+  EXPECT_NE(gateway.Find<CallCounter>(), nullptr);
+}
+
 }  // namespace
 }  // namespace gateway::policy
