Never wait for the reader of the log: drop lines without room, and tell how many

What callers saw: no answer to any request from the moment at which the pipe of standard error was full. Cause: ten calls of fprintf(stderr) in the event loop's thread; a write to a full pipe waits for its reader. Change: all lines go through net::Log. LogDescriptor writes to a pipe, terminal, socket or file without waiting and without making the shared open file non-blocking. A line without room is dropped and counted, and log_resumed log_lines_dropped=N tells how many. Lines are bounded; requests_ended of the last second is written by a timer. The support of RejectionLog's and DiscoveryClient's tests gives them a recording log; no assertion changed.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,10 +1,11 @@
 // api-gateway: runs one gateway by the configuration file that the environment variable LB_CONFIG names.
 //
 // SIGTERM and SIGINT begin a graceful shutdown, SIGHUP reads the configuration file again. Log lines go to
-// standard error: an event's name, then key=value. The exit status is 0 after a shutdown, and 1 with one line
-// of error where the gateway cannot start or go on.
+// standard error (net/non_blocking_log.h): an event's name, then key=value. The exit status is 0 after a
+// shutdown, and 1 with one line of error where the gateway cannot start or go on.
+#include <unistd.h>
+
 #include <csignal>
-#include <cstdio>
 #include <cstdlib>
 #include <exception>
 #include <string>
@@ -12,6 +13,8 @@
 #include "config/config_error.h"
 #include "config/gateway_config.h"
 #include "net/gateway.h"
+#include "net/log_descriptor.h"
+#include "net/non_blocking_log.h"
 
 namespace gateway {
 namespace {
@@ -29,35 +32,37 @@
   return file_name;
 }
 
-void LogListening(const config::GatewayConfig& config, const boost::asio::ip::tcp::endpoint& local) {
-  std::fprintf(stderr, "gateway_listening name=%s address=%s:%d\n", config.name.c_str(),
-               local.address().to_string().c_str(), local.port());
+void LogListening(const config::GatewayConfig& config, const boost::asio::ip::tcp::endpoint& local,
+                  net::Log* log) {
+  log->Write("gateway_listening name=" + config.name + " address=" + local.address().to_string() + ":" +
+             std::to_string(local.port()));
 }
 
 // Of a new configuration only the addresses of discovery and counter are applied. One that cannot be used
 // changes nothing.
-void Reload(const std::string& file_name, net::Gateway* gateway) {
+void Reload(const std::string& file_name, net::Gateway* gateway, net::Log* log) {
   try {
     gateway->Reload(config::LoadGatewayConfig(file_name));
-    std::fprintf(stderr, "configuration_reloaded applied=addresses\n");
+    log->Write("configuration_reloaded applied=addresses");
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "configuration_rejected error=\"%s\"\n", error.what());
+    log->Write(std::string("configuration_rejected error=\"") + error.what() + "\"");
   }
 }
 
-void AwaitShutdown(boost::asio::signal_set* signals, net::Gateway* gateway) {
+void AwaitShutdown(boost::asio::signal_set* signals, net::Gateway* gateway, net::Log* log) {
   signals->async_wait([=](error_code cancelled, int /*signal*/) {
     if (cancelled) return;
-    std::fprintf(stderr, "shutdown_started\n");
+    log->Write("shutdown_started");
     gateway->Shutdown();
   });
 }
 
-void AwaitReloads(boost::asio::signal_set* signals, const std::string& file_name, net::Gateway* gateway) {
+void AwaitReloads(boost::asio::signal_set* signals, const std::string& file_name, net::Gateway* gateway,
+                  net::Log* log) {
   signals->async_wait([=](error_code cancelled, int /*signal*/) {
     if (cancelled) return;
-    Reload(file_name, gateway);
-    AwaitReloads(signals, file_name, gateway);
+    Reload(file_name, gateway, log);
+    AwaitReloads(signals, file_name, gateway, log);
   });
 }
 
@@ -77,19 +82,18 @@
   SignalsBlockedFromScopeEnd& operator=(const SignalsBlockedFromScopeEnd&) = delete;
 };
 
-void Run() {
+void Run(boost::asio::io_context& io, net::Log* log) {
   std::string file_name = ConfigFileName();
   // Before all else, so that a signal during the start is handled after it, not by the default action.
-  boost::asio::io_context io(1);
   boost::asio::signal_set shutdown_signals(io, SIGTERM, SIGINT);
   boost::asio::signal_set reload_signals(io, SIGHUP);
   SignalsBlockedFromScopeEnd blocked_at_exit;  // after the sets, so that it ends before them
 
   config::GatewayConfig config = config::LoadGatewayConfig(file_name);
-  net::Gateway gateway(io, config);
-  AwaitShutdown(&shutdown_signals, &gateway);
-  AwaitReloads(&reload_signals, file_name, &gateway);
-  LogListening(config, gateway.local());
+  net::Gateway gateway(io, config, log);
+  AwaitShutdown(&shutdown_signals, &gateway, log);
+  AwaitReloads(&reload_signals, file_name, &gateway, log);
+  LogListening(config, gateway.local(), log);
   io.run();
 }
 
@@ -98,10 +102,13 @@
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);  // a write to a closed connection is an error of that write
+  gateway::net::LogDescriptor standard_error(STDERR_FILENO);  // before other descriptors are opened
+  boost::asio::io_context io(1);
+  gateway::net::NonBlockingLog log(io, &standard_error);
   try {
-    gateway::Run();
+    gateway::Run(io, &log);
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "api-gateway: %s\n", error.what());
+    log.Write(std::string("api-gateway: ") + error.what());
     return 1;
   }
   return 0;
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -4,6 +4,8 @@
 #define GATEWAY_NET_CLOCK_H_
 
 #include <chrono>
+#include <cstdio>
+#include <string>
 
 namespace gateway::net {
 
@@ -15,6 +17,13 @@
 
 inline double ToSeconds(Clock::duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+// In seconds with three decimals, as the log has times.
+inline std::string FormatSeconds(Clock::duration duration) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f", ToSeconds(duration));
+  return text;
+}
+
 }  // namespace gateway::net
 
 #endif  // GATEWAY_NET_CLOCK_H_
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdio>
 #include <new>
+#include <string>
 #include <utility>
 
 #include "net/http_field_names.h"
@@ -18,7 +18,8 @@
 
 DiscoveryClient::DiscoveryClient(asio::io_context& io, const tcp::endpoint& address,
                                  const config::DeploymentSettings& deployment, EndpointIds* ids,
-                                 OnList on_list, OnFailure on_failure, const DiscoveryClientOptions& options)
+                                 OnList on_list, OnFailure on_failure, Log* log,
+                                 const DiscoveryClientOptions& options)
     : options_(options),
       io_(io),
       address_(address),
@@ -27,6 +28,7 @@
       ids_(ids),
       on_list_(std::move(on_list)),
       on_failure_(std::move(on_failure)),
+      log_(*log),
       last_response_at_(Clock::now()),
       connection_(io),
       pause_timer_(io) {}
@@ -159,7 +161,9 @@
 void DiscoveryClient::HandleFailure(Clock::duration waited) {
   last_failure_wait_ = waited;
   ++failures_;
-  if (failures_ == kFailuresBeforeFullList) std::fprintf(stderr, "discovery_silent failures=%d\n", failures_);
+  if (failures_ == kFailuresBeforeFullList) {
+    log_.Write("discovery_silent failures=" + std::to_string(failures_));
+  }
   if (failures_ >= kFailuresBeforeFullList) need_full_list_ = true;
   PollAfter(Backoff());
   on_failure_();
@@ -169,8 +173,9 @@
 // waited for too long: `last_wait_s` is how long the last exchange that failed lasted.
 void DiscoveryClient::LogRecovery() const {
   if (failures_ < kFailuresBeforeFullList) return;
-  std::fprintf(stderr, "discovery_recovered failures=%d silent_s=%.3f last_wait_s=%.3f\n", failures_,
-               ToSeconds(Clock::now() - last_response_at_), ToSeconds(last_failure_wait_));
+  log_.Write("discovery_recovered failures=" + std::to_string(failures_) +
+             " silent_s=" + FormatSeconds(Clock::now() - last_response_at_) +
+             " last_wait_s=" + FormatSeconds(last_failure_wait_));
 }
 
 void DiscoveryClient::PollAfter(Clock::duration pause) {
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -14,6 +14,7 @@
 #include "net/clock.h"
 #include "net/discovery_exchange.h"
 #include "net/endpoint_list.h"
+#include "net/log.h"
 #include "net/socket_util.h"
 
 namespace gateway::net {
@@ -127,11 +128,11 @@
   // An exchange failed, and will be repeated. Nothing is known to have changed. The same holds.
   using OnFailure = std::function<void()>;
 
-  // `deployment` and `ids` outlive the client. Both callbacks are called from the event loop only, except
-  // that `on_failure` may come from within Start() and SwitchTo() where no socket can be opened.
+  // `deployment`, `ids` and `log` outlive the client. Both callbacks are called from the event loop only,
+  // except that `on_failure` may come from within Start() and SwitchTo() where no socket can be opened.
   DiscoveryClient(asio::io_context& io, const tcp::endpoint& address,
                   const config::DeploymentSettings& deployment, EndpointIds* ids, OnList on_list,
-                  OnFailure on_failure, const DiscoveryClientOptions& options = {});
+                  OnFailure on_failure, Log* log, const DiscoveryClientOptions& options = {});
   ~DiscoveryClient();
   DiscoveryClient(const DiscoveryClient&) = delete;
   DiscoveryClient& operator=(const DiscoveryClient&) = delete;
@@ -171,6 +172,7 @@
   EndpointIds* const ids_;
   const OnList on_list_;
   const OnFailure on_failure_;
+  Log& log_;
 
   bool started_ = false;
   std::optional<uint64_t> index_;  // of the list as last received
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdio>
 #include <string>
 #include <utility>
 #include <variant>
@@ -61,9 +60,10 @@
 
 }  // namespace
 
-Gateway::Gateway(asio::io_context& io, const config::GatewayConfig& config)
+Gateway::Gateway(asio::io_context& io, const config::GatewayConfig& config, Log* log)
     : io_(io),
       config_(config),
+      log_(*log),
       clock_offset_s_(ClockOffset()),
       pool_(io, config.deployment.connection_idle_s, config.deployment.connect_timeout_s,
             config.deployment.drain_grace_s, MaxBackendConnections(config)),
@@ -80,9 +80,10 @@
             OnEndpointList(list, list.full ? EndpointUpdateKind::kFull : EndpointUpdateKind::kDelta);
             ready_ = true;
           },
-          [this] { OnDiscoveryFailed(); }),
-      timers_(io, this),
-      shutdown_(io, server_, requests_, LongestDeadline(config)) {
+          [this] { OnDiscoveryFailed(); }, log),
+      timers_(io, this, log),
+      shutdown_(io, server_, requests_, LongestDeadline(config)),
+      rejection_log_(io, log) {
   if (config.counter_address) {
     counter_.emplace(io, *config.counter_address, kCounterTimeoutMultiple * config.settings.counter_timeout_s,
                      config.deployment.connect_timeout_s, [this](const policy::CounterReply& reply) {
@@ -195,7 +196,7 @@
   });
 }
 
-void Gateway::Execute(const policy::LogEvent& action) { std::fprintf(stderr, "%s\n", action.text.c_str()); }
+void Gateway::Execute(const policy::LogEvent& action) { log_.Write(action.text); }
 
 void Gateway::Execute(const policy::PollDiscovery& /*action*/) { discovery_.Start(); }
 
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -16,6 +16,7 @@
 #include "net/endpoint_list.h"
 #include "net/graceful_shutdown.h"
 #include "net/in_flight_requests.h"
+#include "net/log.h"
 #include "net/rejection_log.h"
 #include "net/request_parser.h"
 #include "net/timer_queue.h"
@@ -28,10 +29,10 @@
 // flight; it gets exactly one final answer (Answer), or its client leaves first (OnConnectionClosed).
 class Gateway : private TimerQueue::Handler {
  public:
-  // Listens, and begins to follow discovery. `config` outlives the gateway. Throws config::ConfigError where
-  // the cached endpoint list of the configuration is unreadable, and boost::system::system_error where the
-  // address cannot be listened on.
-  Gateway(asio::io_context& io, const config::GatewayConfig& config);
+  // Listens, and begins to follow discovery. `config` and `log` outlive the gateway. Throws
+  // config::ConfigError where the cached endpoint list of the configuration is unreadable, and
+  // boost::system::system_error where the address cannot be listened on.
+  Gateway(asio::io_context& io, const config::GatewayConfig& config, Log* log);
   ~Gateway();
 
   tcp::endpoint local() const { return server_.local(); }
@@ -85,6 +86,7 @@
 
   asio::io_context& io_;
   const config::GatewayConfig& config_;
+  Log& log_;
   const double clock_offset_s_;  // the system's clock at the monotonic clock's zero
   EndpointIds endpoint_ids_;
   BackendConnectionPool pool_;
--- a/src/net/rejection_log.cpp
+++ b/src/net/rejection_log.cpp
@@ -8,15 +8,16 @@
 namespace {
 
 constexpr auto kInterval = std::chrono::seconds(1);
+constexpr size_t kMaxIdBytes = 64;  // of a client's request id
 constexpr std::array<const char*, RejectionLog::kCauses> kNames = {"invalid",    "over_quota", "overload",
                                                                    "no_backend", "given_up",   "failed",
                                                                    "deadline",   "shutdown",   "client_left"};
 
-// The id is a client's text: what would break the form of the line is left out.
+// The id is a client's text: what would break the form of the line, or its bound, is left out.
 std::string Printable(std::string_view text) {
   std::string printable(text);
   std::erase_if(printable, [](unsigned char c) { return std::isgraph(c) == 0; });
-  return printable;
+  return printable.substr(0, kMaxIdBytes);
 }
 
 }  // namespace
@@ -35,11 +36,25 @@
 void RejectionLog::Count(Cause cause, std::string_view client_request_id, Clock::time_point now) {
   ++counts_.at(static_cast<size_t>(cause));
   last_id_ = client_request_id;
-  if (now < next_line_at_) return;
+  if (now < next_line_at_) return FlushLater();
   next_line_at_ = now + kInterval;
   Flush();
 }
 
+// Where no further request ends, what has been counted is written all the same.
+void RejectionLog::FlushLater() {
+  if (flush_pending_) return;
+  flush_pending_ = true;
+  timer_.expires_at(next_line_at_);
+  timer_.async_wait([this](error_code cancelled) {
+    if (cancelled) return;
+    flush_pending_ = false;
+    if (Clock::now() < next_line_at_) return FlushLater();  // a line has been written since
+    next_line_at_ = Clock::now() + kInterval;
+    Flush();
+  });
+}
+
 void RejectionLog::Flush() {
   std::string line = "requests_ended";
   for (size_t i = 0; i < kCauses; ++i) {
@@ -47,7 +62,7 @@
   }
   if (std::all_of(counts_.begin(), counts_.end(), [](size_t count) { return count == 0; })) return;
   counts_.fill(0);
-  std::fprintf(out_, "%s last_id=%s\n", line.c_str(), Printable(last_id_).c_str());
+  log_.Write(line + " last_id=" + Printable(last_id_));
 }
 
 }  // namespace gateway::net
--- a/src/net/rejection_log.h
+++ b/src/net/rejection_log.h
@@ -4,11 +4,12 @@
 
 #include <array>
 #include <cstddef>
-#include <cstdio>
 #include <string>
 #include <string_view>
 
 #include "net/clock.h"
+#include "net/log.h"
+#include "net/socket_util.h"
 #include "policy/actions.h"
 
 namespace gateway::net {
@@ -16,7 +17,7 @@
 // Counts requests by the cause of their end. A line has the counts since the last line, none for a cause that
 // did not come, and the last client's request id: "requests_ended over_quota=3 client_left=1 last_id=1f".
 //
-// Invariant: each count is written once; those of the last second at the latest by Flush().
+// Invariant: each count is written once, within a second, and at the latest by Flush().
 class RejectionLog {
  public:
   enum class Cause {
@@ -34,7 +35,8 @@
   };
   static constexpr size_t kCauses = 9;
 
-  explicit RejectionLog(std::FILE* out = stderr) : out_(out) {}
+  // `log` outlives this.
+  RejectionLog(asio::io_context& io, Log* log) : log_(*log), timer_(io) {}
 
   static Cause CauseOf(policy::RejectReason reason);
 
@@ -44,10 +46,14 @@
   void Flush();
 
  private:
-  std::FILE* const out_;
+  void FlushLater();
+
+  Log& log_;
   std::array<size_t, kCauses> counts_{};
   std::string last_id_;
   Clock::time_point next_line_at_{};
+  asio::steady_timer timer_;  // of the next line
+  bool flush_pending_ = false;
 };
 
 }  // namespace gateway::net
--- a/src/net/timer_queue.cpp
+++ b/src/net/timer_queue.cpp
@@ -1,7 +1,7 @@
 #include "net/timer_queue.h"
 
 #include <chrono>
-#include <cstdio>
+#include <string>
 
 namespace gateway::net {
 namespace {
@@ -58,7 +58,7 @@
 void TimerQueue::LogIfLate(Clock::time_point now) {
   if (!armed_for_ || now - *armed_for_ < kLate || now < next_late_line_at_) return;
   next_late_line_at_ = now + kLateLineInterval;
-  std::fprintf(stderr, "event_loop_late late_s=%.3f\n", ToSeconds(now - *armed_for_));
+  log_.Write("event_loop_late late_s=" + FormatSeconds(now - *armed_for_));
 }
 
 }  // namespace gateway::net
--- a/src/net/timer_queue.h
+++ b/src/net/timer_queue.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "net/clock.h"
+#include "net/log.h"
 #include "net/socket_util.h"
 
 namespace gateway::net {
@@ -27,8 +28,8 @@
     ~Handler() = default;
   };
 
-  // `handler` outlives the queue.
-  TimerQueue(asio::io_context& io, Handler* handler) : handler_(handler), timer_(io) {}
+  // `handler` and `log` outlive the queue.
+  TimerQueue(asio::io_context& io, Handler* handler, Log* log) : handler_(handler), log_(*log), timer_(io) {}
 
   void AddRequestDeadline(Clock::time_point due, uint32_t request_id);
   void AddPolicyTimer(Clock::time_point due, uint64_t tag);
@@ -48,6 +49,7 @@
   void LogIfLate(Clock::time_point now);
 
   Handler* const handler_;
+  Log& log_;
   std::priority_queue<Entry, std::vector<Entry>, std::greater<>> entries_;  // the next due on top
   asio::steady_timer timer_;
   std::optional<Clock::time_point> armed_for_;
--- a/tests/net/discovery_client_test.cpp
+++ b/tests/net/discovery_client_test.cpp
@@ -14,6 +14,7 @@
 #include "support/event_loop.h"
 #include "support/http_message.h"
 #include "support/manual_listener.h"
+#include "support/recording_log.h"
 #include "support/stub_discovery.h"
 #include "support/test_connection.h"
 
@@ -29,7 +30,7 @@
     deployment.connect_timeout_s = 0.25;
     client.emplace(
         io, LoopbackEndpoint(listener.port()), deployment, &ids,
-        [this](EndpointList list) { lists.push_back(std::move(list)); }, [this] { ++failed; });
+        [this](EndpointList list) { lists.push_back(std::move(list)); }, [this] { ++failed; }, &log);
     client->Start();
     AcceptConnection();
   }
@@ -52,6 +53,7 @@
         json{{"index", index}, {"snapshot", full}, {"endpoints", {EndpointEntry("a", 1, status)}}}.dump(2)));
     RunUntil([&] { return lists.size() > before || failed > failures; });
   }
+  RecordingLog log;
   config::DeploymentSettings deployment;
   EndpointIds ids;
   ManualListener listener;
--- a/tests/net/rejection_log_test.cpp
+++ b/tests/net/rejection_log_test.cpp
@@ -2,41 +2,20 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdio>
-#include <cstdlib>
-#include <string>
+#include "support/event_loop.h"
+#include "support/recording_log.h"
 
 namespace gateway::net {
 namespace {
 
+using namespace test_support;
 using Cause = RejectionLog::Cause;
 
-// What the log writes.
-class LogText {
- public:
-  LogText() : file_(open_memstream(&text_, &size_)) {}
-  ~LogText() {
-    std::fclose(file_);
-    std::free(text_);
-  }
-  LogText(const LogText&) = delete;
-  LogText& operator=(const LogText&) = delete;
-  std::FILE* file() { return file_; }
-  std::string str() {
-    std::fflush(file_);
-    return {text_, size_};
-  }
-
- private:
-  char* text_ = nullptr;
-  size_t size_ = 0;
-  std::FILE* file_;
-};
-
 // A flood of rejections must not become a flood of lines, and none of them may be missing from the counts.
 TEST(RejectionLog, WritesOneLineASecondWithEveryCount) {
-  LogText text;
-  RejectionLog log(text.file());
+  EventLoop loop;
+  RecordingLog text;
+  RejectionLog log(loop.io, &text);
   Clock::time_point now{};
   log.Count(Cause::kOverQuota, "a", now);
   for (int i = 0; i < 3; ++i) log.Count(Cause::kOverload, "b", now + Seconds(0.9));
@@ -52,11 +31,35 @@
 
 // A client chooses its request's id: it must not be able to write a log line of its own.
 TEST(RejectionLog, LeavesOutWhatWouldBreakTheLine) {
-  LogText text;
-  RejectionLog log(text.file());
+  EventLoop loop;
+  RecordingLog text;
+  RejectionLog log(loop.io, &text);
   log.Count(Cause::kInvalid, "a\nshutdown_started b\x1b", {});
   EXPECT_EQ(text.str(), "requests_ended invalid=1 last_id=ashutdown_startedb\n");
 }
 
+// A flood that ends must not leave its last second untold until the next rejection, perhaps hours later.
+TEST(RejectionLog, WritesTheLastCountsWithinASecond) {
+  EventLoop loop;
+  RecordingLog text;
+  RejectionLog log(loop.io, &text);
+  Clock::time_point now = Clock::now();
+  log.Count(Cause::kOverQuota, "a", now);
+  log.Count(Cause::kOverload, "b", now);
+  log.Count(Cause::kOverload, "c", now);
+  loop.RunUntil([&] { return text.str().find("overload=2 last_id=c\n") != std::string::npos; });
+  EXPECT_GE(Clock::now(), now + Seconds(1));
+  EXPECT_EQ(text.str(), "requests_ended over_quota=1 last_id=a\nrequests_ended overload=2 last_id=c\n");
+}
+
+// A client's text must not make a line of any length.
+TEST(RejectionLog, BoundsTheLengthOfALine) {
+  EventLoop loop;
+  RecordingLog text;
+  RejectionLog log(loop.io, &text);
+  log.Count(Cause::kInvalid, std::string(8000, 'x'), {});
+  EXPECT_EQ(text.str(), "requests_ended invalid=1 last_id=" + std::string(64, 'x') + "\n");
+}
+
 }  // namespace
 }  // namespace gateway::net
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -2,7 +2,9 @@
 #ifndef GATEWAY_TESTS_SUPPORT_GATEWAY_PROCESS_H_
 #define GATEWAY_TESTS_SUPPORT_GATEWAY_PROCESS_H_
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -19,18 +21,27 @@
 #include <vector>
 
 #include "support/test_connection.h"
+#include "support/time_limit.h"
 
 namespace gateway::test_support {
 
 using nlohmann::json;
 
+// Whether the log of a gateway process is read while it runs.
+enum class LogReading {
+  kAll,
+  kFirstLine,  // of a pipe of the least size; the rest when the process has ended
+};
+
 // A gateway process on a free port. On destruction it gets SIGTERM and must exit with 0.
 class GatewayProcess {
  public:
   // `descriptors`: the limit on open files; 0 leaves it as it is. Returns when the first log line is there.
-  explicit GatewayProcess(const json& config, const char* program = API_GATEWAY, rlim_t descriptors = 0)
-      : GatewayProcess(config.dump(), program, descriptors) {}
-  GatewayProcess(const std::string& config, const char* program, rlim_t descriptors) {
+  explicit GatewayProcess(const json& config, const char* program = API_GATEWAY, rlim_t descriptors = 0,
+                          LogReading reading = LogReading::kAll)
+      : GatewayProcess(config.dump(), program, descriptors, reading) {}
+  GatewayProcess(const std::string& config, const char* program, rlim_t descriptors,
+                 LogReading reading = LogReading::kAll) {
     char path[] = "/tmp/api-gateway-test-XXXXXX";
     int file = mkstemp(path);
     EXPECT_GE(file, 0);
@@ -39,6 +50,9 @@
     close(file);
     int ends[2];
     EXPECT_EQ(pipe(ends), 0);
+    if (reading == LogReading::kFirstLine) {
+      EXPECT_GT(fcntl(ends[1], F_SETPIPE_SZ, 1), 0);
+    }
     pid_ = fork();
     if (pid_ == 0) {
       dup2(ends[1], 2);
@@ -55,11 +69,8 @@
     while (read(log_fd_, &c, 1) == 1 && c != '\n') first_line += c;
     size_t colon = first_line.rfind(':');
     if (first_line.rfind("gateway_listening ", 0) == 0) port = std::atoi(first_line.c_str() + colon + 1);
-    log_reader_ = std::thread([this] {  // the pipe must not fill up
-      char part[4096];
-      ssize_t n;
-      while ((n = read(log_fd_, part, sizeof(part))) > 0) log.append(part, static_cast<size_t>(n));
-    });
+    if (reading == LogReading::kAll)
+      log_reader_ = std::thread([this] { ReadLog(); });  // or its pipe fills up
   }
   ~GatewayProcess() {
     if (pid_ > 0) {
@@ -68,6 +79,14 @@
     }
     unlink(path_.c_str());
   }
+  // Reads the log, of which only the first line was read, until it has `text`. False if that does not come.
+  bool ReadLogUntil(const std::string& text) {
+    pollfd more{log_fd_, POLLIN, 0};
+    while (log.find(text) == std::string::npos) {
+      if (poll(&more, 1, kLimitS * 1000) != 1 || !ReadLogPart()) return false;
+    }
+    return true;
+  }
   void Signal(int signal) { kill(pid_, signal); }
   // Replaces the configuration file in one step and sends SIGHUP.
   void Reload(const std::string& config) {
@@ -81,7 +100,8 @@
     int status = 0;
     waitpid(pid_, &status, 0);
     pid_ = -1;
-    log_reader_.join();
+    if (log_reader_.joinable()) log_reader_.join();
+    ReadLog();
     close(log_fd_);
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
   }
@@ -113,6 +133,18 @@
   std::string first_line, log;  // the first line of the log; after AwaitExit the others
 
  private:
+  // Waits for more of the log. False at its end, that is, when the process has ended.
+  bool ReadLogPart() {
+    char part[4096];
+    ssize_t n = read(log_fd_, part, sizeof(part));
+    if (n > 0) log.append(part, static_cast<size_t>(n));
+    return n > 0;
+  }
+  void ReadLog() {
+    while (ReadLogPart()) {
+    }
+  }
+
   pid_t pid_ = -1;
   int log_fd_ = -1;
   std::string path_;
