Take no time in which the process stood still for its backends' slowness

What callers saw: after a hold of the process most requests were rejected as overload, for seconds. Cause: an attempt's latency was taken from the clock of a process that stood still. Change: EventLoopMonitor measures the stall, the policy is told by OnStall, and RunningClock gives each latency a lower bound. Out-of-time requests and silent attempts are judged by the running time too.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -81,7 +81,8 @@
             ready_ = true;
           },
           [this] { OnDiscoveryFailed(); }, log),
-      timers_(io, this, log),
+      timers_(io, this),
+      event_loop_monitor_(&timers_, log),
       shutdown_(io, server_, requests_, LongestDeadline(config)),
       rejection_log_(io, log) {
   if (config.counter_address) {
@@ -94,7 +95,7 @@
     counter_->Start();
   }
   EndpointList cached = ParseCachedList(config, &endpoint_ids_);
-  policy_.emplace(config.settings, config.seed, PolicyNow(), &actions_);
+  policy_.emplace(config.settings, config.seed, PolicyTime(Clock::now()), &actions_);
   cached.notified_at = Clock::now();
   OnEndpointList(cached, EndpointUpdateKind::kCached);
   server_.Listen(config.listen_address);
@@ -114,7 +115,9 @@
 void Gateway::Shutdown() { shutdown_.Start(); }
 
 // Monotonic, and the same at every gateway as far as the machines' clocks agree when they start.
-double Gateway::PolicyNow() const { return clock_offset_s_ + ToSeconds(Clock::now().time_since_epoch()); }
+double Gateway::PolicyTime(Clock::time_point at) const {
+  return clock_offset_s_ + ToSeconds(at.time_since_epoch());
+}
 
 // Executes the actions after the policy has returned. No action calls the policy: what it causes comes as an
 // event of its own. Guards against re-entry, which would run actions of an inner call before those of the
@@ -122,12 +125,21 @@
 // follows it.
 template <typename Event>
 void Gateway::NotifyPolicy(Event event) {
-  event(*policy_, PolicyNow(), &actions_);
+  Clock::time_point now = Clock::now();
+  CheckForStall(now);
+  event(*policy_, PolicyTime(now), &actions_);
   executing_actions_.swap(actions_);
   for (const policy::Action& action : executing_actions_) {
     std::visit([this](const auto& typed_action) { Execute(typed_action); }, action);
   }
   executing_actions_.clear();
+  if (!requests_.empty()) event_loop_monitor_.WakeUpSoon(now);
+}
+
+// The policy hears of it before the events that were read late because of it.
+void Gateway::CheckForStall(Clock::time_point now) {
+  Clock::duration stall = event_loop_monitor_.TakeStall(now);
+  if (stall > Clock::duration::zero()) policy_->OnStall(ToSeconds(stall));
 }
 
 void Gateway::Execute(const policy::ForwardAttempt& action) {
@@ -382,6 +394,11 @@
   });
 }
 
+void Gateway::OnTimersHandled() {
+  if (!requests_.empty()) event_loop_monitor_.WakeUpSoon(Clock::now());
+  shutdown_.StopIfDone();
+}
+
 void Gateway::OnPolicyTimer(uint64_t tag) {
   NotifyPolicy(
       [&](AdmissionPolicy& policy, double now_s, Actions* actions) { policy.OnTimer(now_s, tag, actions); });
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -14,6 +14,7 @@
 #include "net/counter_client.h"
 #include "net/discovery_client.h"
 #include "net/endpoint_list.h"
+#include "net/event_loop_monitor.h"
 #include "net/graceful_shutdown.h"
 #include "net/in_flight_requests.h"
 #include "net/log.h"
@@ -46,9 +47,10 @@
 
  private:
   // Policy.
-  double PolicyNow() const;
+  double PolicyTime(Clock::time_point at) const;
   template <typename Event>
   void NotifyPolicy(Event event);
+  void CheckForStall(Clock::time_point now);
   void Execute(const policy::ForwardAttempt& action);
   void Execute(const policy::CancelAttempt& action);
   void Execute(const policy::RejectRequest& action);
@@ -82,7 +84,8 @@
   // TimerQueue::Handler.
   void OnRequestDeadline(uint32_t request_id) override;
   void OnPolicyTimer(uint64_t tag) override;
-  void OnTimersHandled() override { shutdown_.StopIfDone(); }
+  void OnTimersDue() override { CheckForStall(Clock::now()); }
+  void OnTimersHandled() override;
 
   asio::io_context& io_;
   const config::GatewayConfig& config_;
@@ -96,6 +99,7 @@
   DiscoveryClient discovery_;
   InFlightRequests requests_;
   TimerQueue timers_;
+  EventLoopMonitor event_loop_monitor_;
   GracefulShutdown shutdown_;
   RejectionLog rejection_log_;
   bool ready_ = false;  // discovery has given a list, or failed once
--- a/src/net/in_flight_requests.h
+++ b/src/net/in_flight_requests.h
@@ -51,6 +51,7 @@
 
   // The unanswered request of a client's connection.
   std::optional<uint32_t> FindUnanswered(uint64_t connection_id) const;
+  bool empty() const { return requests_.empty(); }
   bool HasUnanswered() const { return !unanswered_by_connection_.empty(); }
 
   // Guards against two requests of one id at a backend, which would take the second for a repeat of the
--- a/src/net/timer_queue.cpp
+++ b/src/net/timer_queue.cpp
@@ -1,23 +1,16 @@
 #include "net/timer_queue.h"
 
-#include <chrono>
-#include <string>
-
 namespace gateway::net {
-namespace {
-
-// The pages' measure of a gateway that is held up (STANDING).
-constexpr auto kLate = std::chrono::milliseconds(150);
-constexpr auto kLateLineInterval = std::chrono::seconds(1);
-
-}  // namespace
-
 void TimerQueue::AddRequestDeadline(Clock::time_point due, uint32_t request_id) {
   Add({due, Kind::kRequestDeadline, request_id});
 }
 
 void TimerQueue::AddPolicyTimer(Clock::time_point due, uint64_t tag) { Add({due, Kind::kPolicyTimer, tag}); }
 
+void TimerQueue::EnsureWakeUpBy(Clock::time_point due) {
+  if (!armed_for_ || due < *armed_for_) Add({due, Kind::kWakeUp, 0});
+}
+
 void TimerQueue::Add(const Entry& entry) {
   entries_.push(entry);
   if (!armed_for_ || entry.due < *armed_for_) Arm();
@@ -35,8 +28,8 @@
 // Takes all that are due off the queue before the first is handled: a timer that a handler adds for now waits
 // for the next wake-up, so that handlers which keep adding such timers cannot hold the event loop.
 void TimerQueue::RunDue() {
+  handler_->OnTimersDue();
   auto now = Clock::now();
-  LogIfLate(now);
   armed_for_.reset();
   std::vector<Entry> due;
   while (!entries_.empty() && entries_.top().due <= now) {
@@ -47,18 +40,11 @@
     switch (entry.kind) {
       case Kind::kRequestDeadline: handler_->OnRequestDeadline(static_cast<uint32_t>(entry.tag)); break;
       case Kind::kPolicyTimer: handler_->OnPolicyTimer(entry.tag); break;
+      case Kind::kWakeUp: break;
     }
   }
   if (!armed_for_) Arm();
   handler_->OnTimersHandled();
 }
 
-// A process that stood still reads requests late and counts their time from then: at night, the sign that an
-// answer came late, or never, through no rule of the gateway.
-void TimerQueue::LogIfLate(Clock::time_point now) {
-  if (!armed_for_ || now - *armed_for_ < kLate || now < next_late_line_at_) return;
-  next_late_line_at_ = now + kLateLineInterval;
-  log_.Write("event_loop_late late_s=" + FormatSeconds(now - *armed_for_));
-}
-
 }  // namespace gateway::net
--- a/src/net/timer_queue.h
+++ b/src/net/timer_queue.h
@@ -9,7 +9,6 @@
 #include <vector>
 
 #include "net/clock.h"
-#include "net/log.h"
 #include "net/socket_util.h"
 
 namespace gateway::net {
@@ -17,9 +16,10 @@
 // A timer cannot be cancelled: whoever handles it finds out that its subject is gone.
 class TimerQueue {
  public:
-  // Called from the event loop only. Both timer callbacks may add timers.
+  // Called from the event loop only. All callbacks may add timers.
   class Handler {
    public:
+    virtual void OnTimersDue() = 0;  // before those of one wake-up are handled
     virtual void OnRequestDeadline(uint32_t request_id) = 0;
     virtual void OnPolicyTimer(uint64_t tag) = 0;
     virtual void OnTimersHandled() = 0;  // after all that were due at one wake-up
@@ -28,14 +28,19 @@
     ~Handler() = default;
   };
 
-  // `handler` and `log` outlive the queue.
-  TimerQueue(asio::io_context& io, Handler* handler, Log* log) : handler_(handler), log_(*log), timer_(io) {}
+  // `handler` outlives the queue.
+  TimerQueue(asio::io_context& io, Handler* handler) : handler_(handler), timer_(io) {}
 
   void AddRequestDeadline(Clock::time_point due, uint32_t request_id);
   void AddPolicyTimer(Clock::time_point due, uint64_t tag);
+  // Wakes up the event loop by then, if no timer is due earlier.
+  void EnsureWakeUpBy(Clock::time_point due);
+
+  // When the next timer is due; none while those that were due are being handled.
+  std::optional<Clock::time_point> next_due() const { return armed_for_; }
 
  private:
-  enum class Kind { kRequestDeadline, kPolicyTimer };
+  enum class Kind { kRequestDeadline, kPolicyTimer, kWakeUp };
   struct Entry {
     Clock::time_point due;
     Kind kind;
@@ -46,14 +51,11 @@
   void Add(const Entry& entry);
   void Arm();
   void RunDue();
-  void LogIfLate(Clock::time_point now);
 
   Handler* const handler_;
-  Log& log_;
   std::priority_queue<Entry, std::vector<Entry>, std::greater<>> entries_;  // the next due on top
   asio::steady_timer timer_;
   std::optional<Clock::time_point> armed_for_;
-  Clock::time_point next_late_line_at_{};
 };
 
 }  // namespace gateway::net
--- a/src/policy/admission_policy.cpp
+++ b/src/policy/admission_policy.cpp
@@ -16,6 +16,7 @@
 #include "policy/random_source.h"
 #include "policy/request_validation.h"
 #include "policy/retry_policy.h"
+#include "policy/running_clock.h"
 #include "policy/service_estimator.h"
 #include "policy/slow_start.h"
 #include "policy/tenant.h"
@@ -48,7 +49,7 @@
         load_shedder_(settings_, estimator_, &random_),
         retry_policy_(settings_, estimator_),
         selector_(settings_, retry_policy_, &endpoints_, &slow_start_, &random_),
-        feedback_(settings_, &estimator_, &slow_start_, &load_shedder_, &demand_share_) {
+        feedback_(settings_, running_clock_, &estimator_, &slow_start_, &load_shedder_, &demand_share_) {
     if (!settings_.discovery_is_pushed) actions->push_back(PollDiscovery{});
   }
   Impl(const Impl&) = delete;
@@ -120,13 +121,18 @@
     if (it == in_flight_.end() || it->second.finished || it->second.response_started) return;
     InFlightRequest& request = it->second;
     if (retry_policy_.IsOutOfTime(request, now_s)) {
-      load_shedder_.RecordDeadlineExceeded(now_s);
+      // Time in which this process stood still says nothing of the backends' load.
+      if (retry_policy_.IsOutOfRunningTime(request, running_clock_.At(now_s))) {
+        load_shedder_.RecordDeadlineExceeded(now_s);
+      }
       return FinishWithoutResponse(&request, actions);
     }
     if (!request.IsWaitingForCounter()) HedgeOrCancelSilentAttempt(&request, now_s, actions);
     StartCheckTimer(request, LastBackend(request), now_s, actions);
   }
 
+  void OnStall(double duration_s) { running_clock_.RecordStall(duration_s); }
+
   void OnCounterReply(double now_s, const CounterReply& reply, Actions* actions) {
     std::optional<CounterSchedule::Call> call = counter_.TakePending(reply.key);
     if (!call.has_value()) return;
@@ -151,7 +157,7 @@
 
   void ForwardOrShed(Tenant* tenant, const Request& request, QuotaDecision decision, double now_s,
                      Actions* actions) {
-    InFlightRequest arrived(request, now_s);
+    InFlightRequest arrived(request, now_s, running_clock_.At(now_s));
     bool within_quota = decision == QuotaDecision::kWithinQuota;
     bool shed = load_shedder_.ShouldShed(request, !within_quota, endpoints_, now_s);
     Backend* backend = SelectUnlessShed(arrived, shed, now_s);
@@ -174,7 +180,7 @@
 
   void WaitForCounter(Tenant* tenant, const Request& request, const QuotaAssessment& assessment, double now_s,
                       Actions* actions) {
-    InFlightRequest arrived(request, now_s);
+    InFlightRequest arrived(request, now_s, running_clock_.At(now_s));
     bool shed = load_shedder_.ShouldShed(request, false, endpoints_, now_s);
     if (shed && selector_.Select(arrived, now_s, EndpointSelector::Candidates::kWarmingUp) == nullptr) {
       return Reject(request.id, RejectReason::kOverload, actions);
@@ -249,7 +255,7 @@
 
   // `tenant`: null where it is not known any more.
   void Forward(Tenant* tenant, InFlightRequest* request, Backend* backend, double now_s, Actions* actions) {
-    request->attempts.push_back({backend->endpoint.id, now_s, true});
+    request->attempts.push_back({backend->endpoint.id, now_s, true, running_clock_.At(now_s)});
     ++request->attempts_in_flight;
     ++backend->attempts_in_flight;
     load_shedder_.RecordAttemptStarted();
@@ -276,6 +282,7 @@
   void HedgeOrCancelSilentAttempt(InFlightRequest* request, double now_s, Actions* actions) {
     Backend* backend = LastBackend(*request);
     if (!retry_policy_.ShouldHedgeOrCancel(*request, backend, now_s)) return;
+    if (!HasRunForCheckDelay(*request, backend, now_s)) return;
     if (settings_.hedging_enabled) {
       // With other attempts in flight there, the silence is the backend's and not this request's.
       if (backend->attempts_in_flight > 1) feedback_.RecordFailure(backend, now_s, actions);
@@ -286,6 +293,15 @@
     }
   }
 
+  // Whether the last attempt has had the time after which a silent one is looked at, without the time in
+  // which this process stood still. Guards against a hold after which all attempts seem to be silent at once.
+  bool HasRunForCheckDelay(const InFlightRequest& request, const Backend* backend, double now_s) const {
+    const Attempt& last = request.attempts.back();
+    double running_for_s = running_clock_.At(now_s) - last.sent_running_s;
+    bool stalled = now_s - last.sent_s > running_for_s + settings_.timer_resolution_s;
+    return !stalled || running_for_s >= retry_policy_.CheckDelayS(request, backend, now_s);
+  }
+
   // A retry, or a hedged request where an attempt is in flight. Returns false where no further attempt is
   // allowed or no backend may take it.
   bool StartAnotherAttempt(InFlightRequest* request, double now_s, Actions* actions) {
@@ -353,6 +369,7 @@
 
   const Settings settings_;
   RandomSource random_;
+  RunningClock running_clock_;
   ServiceEstimator estimator_;
   TenantTable tenants_;
   DemandShare demand_share_;
@@ -397,6 +414,8 @@
   impl_->OnTimer(now_s, tag, actions);
 }
 
+void AdmissionPolicy::OnStall(double duration_s) { impl_->OnStall(duration_s); }
+
 void AdmissionPolicy::OnCounterReply(double now_s, const CounterReply& reply, Actions* actions) {
   impl_->OnCounterReply(now_s, reply, actions);
 }
--- a/src/policy/admission_policy.h
+++ b/src/policy/admission_policy.h
@@ -36,6 +36,8 @@
   void OnClientGone(double now_s, uint32_t request_id, Actions* actions);
   // The delay of a StartTimer is over.
   void OnTimer(double now_s, uint64_t tag, Actions* actions);
+  // The process stood still for `duration_s` up to now: what happened meanwhile is only told after this call.
+  void OnStall(double duration_s);
   // A CallCounter ended. Called once for each.
   void OnCounterReply(double now_s, const CounterReply& reply, Actions* actions);
 
--- a/src/policy/outcome_feedback.cpp
+++ b/src/policy/outcome_feedback.cpp
@@ -27,7 +27,8 @@
     case CallResult::kOk: {
       double cost_units =
           outcome.actual_cost_units > 0 ? outcome.actual_cost_units : request.request.cost_units;
-      RecordResponse(backend, request.request, cost_units, now_s - attempt.sent_s, now_s, actions);
+      double latency_s = LatencyS(request.request, attempt, now_s);
+      RecordResponse(backend, request.request, cost_units, latency_s, now_s, actions);
       break;
     }
     case CallResult::kError: RecordFailure(backend, now_s, actions); break;
@@ -50,6 +51,14 @@
   }
 }
 
+// The latency of an answer that is read now. Where the process stood still meanwhile it is known only within
+// bounds; what was expected is taken for it as far as they allow.
+double OutcomeFeedback::LatencyS(const Request& request, const Attempt& attempt, double now_s) const {
+  double longest_s = now_s - attempt.sent_s;
+  double shortest_s = std::min(longest_s, running_clock_.At(now_s) - attempt.sent_running_s);
+  return std::clamp(estimator_.ExpectedLatencyS(request), shortest_s, longest_s);
+}
+
 void OutcomeFeedback::RecordResponse(Backend* backend, const Request& request, double cost_units,
                                      double latency_s, double now_s, Actions* actions) {
   // Only warmed-up backends count: what others are sent and reject tells nothing of what a warm one can do.
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -70,6 +70,10 @@
   return now_s >= request.deadline_at_s - kOutOfTimeResolutions * settings_.timer_resolution_s;
 }
 
+bool RetryPolicy::IsOutOfRunningTime(const InFlightRequest& request, double running_s) const {
+  return running_s >= request.deadline_at_running_s - kOutOfTimeResolutions * settings_.timer_resolution_s;
+}
+
 bool RetryPolicy::MayReject(const InFlightRequest& request) const {
   const ClassSettings& request_class = ClassOf(request);
   if (request_class.idempotency == Idempotency::kIdempotent) return true;
--- a/tests/policy/load_shedder_test.cpp
+++ b/tests/policy/load_shedder_test.cpp
@@ -1,6 +1,8 @@
 // The share of requests that is admitted, by their priority weight and by the latency of the answers.
 #include <gtest/gtest.h>
 
+#include <vector>
+
 #include "support/policy_fixture.h"
 
 namespace gateway::policy {
@@ -58,6 +60,43 @@
   EXPECT_LT(CountAdmittedAtLatency(0.5), 130);
 }
 
+// Serves requests of new tenants, ten at a time. Each ten take `latency_s`, and then their answers lie unread
+// while the process stands still for `stall_s`. Returns the number that was forwarded, of 200.
+int CountAdmittedWithStalls(double latency_s, double stall_s) {
+  constexpr int kRounds = 20;
+  constexpr int kRequestsPerRound = 10;
+  Settings settings = MakeSettings();
+  settings.counter_enabled = false;
+  PolicyFixture gateway(settings, {.endpoints = MakeEndpoints(100)});
+  uint64_t next_tenant = 1000;
+  int forwarded = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<uint32_t> in_flight;
+    for (int i = 0; i < kRequestsPerRound; ++i) {
+      const uint32_t request = gateway.Arrive({.time_left_s = 3, .tenant = next_tenant++});
+      if (gateway.Forwarded()) in_flight.push_back(request);
+    }
+    gateway.Advance(latency_s);
+    gateway.Stall(stall_s);
+    for (uint32_t request : in_flight) gateway.CompleteAttempt(request, CallResult::kOk);
+    forwarded += static_cast<int>(in_flight.size());
+  }
+  return forwarded;
+}
+
+// The process is held up while answers are in flight, so that all of them are read late, at once. That is no
+// sign of slow backends: a gateway that took it for one would reject most of what comes for seconds.
+TEST(LoadShedder, TimeInWhichTheProcessStoodStillIsNotTheBackends) {
+  for (double stall_s : {0.15, 0.3, 0.7, 1.0})
+    EXPECT_EQ(CountAdmittedWithStalls(0.05, stall_s), 200) << stall_s;
+}
+
+// Backends that are slow by themselves overload all the same, whether or not the process is held up too.
+TEST(LoadShedder, SlowAnswersLowerTheAdmittedShareAcrossStallsToo) {
+  EXPECT_LT(CountAdmittedWithStalls(0.5, 0), 130);
+  EXPECT_LT(CountAdmittedWithStalls(0.5, 0.3), 130);
+}
+
 // The admitted share is low when the last answers have come, and all new requests have little time left. With
 // no attempt in flight nothing would show that the backends have capacity again, and the gateway would reject
 // for ever. So after a latency objective without an attempt the next request is admitted.
--- a/tests/policy/retry_policy_test.cpp
+++ b/tests/policy/retry_policy_test.cpp
@@ -92,5 +92,23 @@
   EXPECT_NE(gateway.ForwardedTo(), silent_backend);
 }
 
+// The process is held up just after an attempt was sent. Its backend has had no time to answer, as far as
+// this gateway can have heard it: the attempt is given the usual time before it is hedged.
+TEST(RetryPolicy, AttemptIsNotHedgedForTimeInWhichTheProcessStoodStill) {
+  Settings settings = MakeSettings();
+  settings.hedging_enabled = true;
+  PolicyFixture gateway(settings);
+  const uint32_t request = gateway.Arrive({.time_left_s = 3});
+  ASSERT_TRUE(gateway.Forwarded());
+  const double check_delay_s = gateway.Find<StartTimer>()->delay_s;
+  gateway.Stall(check_delay_s);
+  gateway.FireTimer(request);
+  EXPECT_FALSE(gateway.Forwarded());
+  ASSERT_NE(gateway.Find<StartTimer>(), nullptr);
+  gateway.Advance(gateway.Find<StartTimer>()->delay_s);
+  gateway.FireTimer(request);
+  EXPECT_TRUE(gateway.Forwarded());
+}
+
 }  // namespace
 }  // namespace gateway::policy
--- a/tests/support/policy_fixture.cpp
+++ b/tests/support/policy_fixture.cpp
@@ -95,6 +95,11 @@
   return arrived.id;
 }
 
+void PolicyFixture::Stall(double duration_s) {
+  Advance(duration_s);
+  policy_.OnStall(duration_s);
+}
+
 void PolicyFixture::CompleteAttempt(uint32_t request_id, CallResult result, double actual_cost_units) {
   const std::vector<uint32_t>& backends = attempts_.at(request_id);
   AttemptOutcome outcome;
--- a/tests/support/policy_fixture.h
+++ b/tests/support/policy_fixture.h
@@ -60,6 +60,9 @@
   void SetTime(double now_s) { now_s_ = now_s; }
   void Advance(double duration_s) { now_s_ += duration_s; }
 
+  // The gateway's process stands still.
+  void Stall(double duration_s);
+
   // Events. Each replaces actions() by the actions that it leads to.
 
   // A request arrives; returns its id.
--- a/tests/support/unresponsive_policy.cpp
+++ b/tests/support/unresponsive_policy.cpp
@@ -24,6 +24,7 @@
 void AdmissionPolicy::OnAttemptOutcome(double, const AttemptOutcome&, Actions*) {}
 void AdmissionPolicy::OnClientGone(double, uint32_t, Actions*) {}
 void AdmissionPolicy::OnTimer(double, uint64_t, Actions*) {}
+void AdmissionPolicy::OnStall(double) {}
 void AdmissionPolicy::OnCounterReply(double, const CounterReply&, Actions*) {}
 
 }  // namespace gateway::policy
