Use no connection to a backend that has been idle for too long after a hold

What callers could see: a reset of a request that crosses its backend's close of an idle connection. Cause: only the timer closed overdue connections; after a hold requests may be handled before it. Evidence: with a loop that does not turn for longer than the limit the next request went out on the old connection (the test failed on the code before). Change: the clock decides, where a connection is taken.

--- a/src/net/backend_connection_pool.cpp
+++ b/src/net/backend_connection_pool.cpp
@@ -157,7 +157,9 @@
     std::shared_ptr<BackendConnection> connection = std::move(settled->connection);
     idle_order_.erase(settled->order);
     idle.erase(std::prev(settled.base()));
-    if (connection->IsReusable()) return connection;
+    // One that is overdue is no longer used, though its timer has not run yet in a process that was held up.
+    bool overdue = connection->HasBeenIdleFor(timeouts_.idle);
+    if (!overdue && connection->IsReusable()) return connection;
     connection->Close();
   }
 }
--- a/tests/net/backend_connection_pool_test.cpp
+++ b/tests/net/backend_connection_pool_test.cpp
@@ -233,5 +233,24 @@
   EXPECT_EQ(p.ends[0].result, CallResult::kOk);
 }
 
+// The process is held up while a connection is idle, past the time after which it would have been closed. Its
+// backend is about to close it too: a request that crosses that close ends as a reset, after which it may
+// have run.
+TEST(BackendConnectionPool, UsesNoConnectionThatHasBeenIdleForTooLong) {
+  constexpr double kIdleS = 0.5;
+  ManualListener backend;
+  PoolFixture p(0, kIdleS);
+  p.pool.Update(1, LoopbackEndpoint(backend.port()));
+  p.Send(1, "one");
+  p.RunUntil([&] { return backend.HasPending(); });
+  auto first = backend.Accept();
+  first->Write(OkResponse("one"));
+  p.RunUntil([&] { return p.ends.size() == 1; });
+  std::this_thread::sleep_for(Seconds(kIdleS));  // the loop does not turn
+  p.Send(1, "two");
+  p.RunUntil([&] { return backend.HasPending(); });
+  EXPECT_TRUE(backend.HasPending()) << "on a new connection";
+}
+
 }  // namespace
 }  // namespace gateway::net
