Play real gateways with failures at seeded moments, and check every rule for every request

gateway-lab soak: 3 to 8 gateway processes among stand-ins of discovery, counter and backends, with clients that pipeline, leave, write slowly and use open connections until SIGKILL. Fifteen kinds of events, six in ten of them right after another: holds, kills of one and of most, restarts with signals in series, reloads, silent discovery and counter, backends that drain, vanish, hang and reset, a crowd that fills the places. Checked: answers in time, read or forwarded requests left unanswered, attempts after a client's close or a drain's grace, second runs, told time-outs, attempts beside another, exits, readiness, descriptors; each check has a test in which a history trips it. The lab's child process is started with an environment made before the fork.

--- a/lab/child_process.cpp
+++ b/lab/child_process.cpp
@@ -6,23 +6,36 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <sstream>
 #include <stdexcept>
+#include <system_error>
+#include <vector>
 
 namespace gateway::lab {
 namespace {
 
 constexpr int kExitCannotExecute = 127;  // as shells report it
 
-// Between fork and the program's start. Does not return.
-[[noreturn]] void Execute(const std::string& program, const std::string& variable, const std::string& value) {
-  setenv(variable.c_str(), value.c_str(), 1);
-  int null = open("/dev/null", O_WRONLY);
-  dup2(null, STDOUT_FILENO);
-  dup2(null, STDERR_FILENO);
-  execl(program.c_str(), program.c_str(), static_cast<char*>(nullptr));
+// The environment with one variable more, as execve takes it.
+std::vector<std::string> EnvironmentWith(const std::string& variable, const std::string& value) {
+  std::vector<std::string> environment;
+  for (char** entry = environ; *entry != nullptr; ++entry) {
+    if (std::string(*entry).rfind(variable + "=", 0) != 0) environment.emplace_back(*entry);
+  }
+  environment.push_back(variable + "=" + value);
+  return environment;
+}
+
+// Between fork and the program's start, where only async-signal-safe calls are allowed. Does not return.
+[[noreturn]] void Execute(const char* program, char* const* environment, const char* output) {
+  int log = open(output, O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2(log, STDOUT_FILENO);
+  dup2(log, STDERR_FILENO);
+  char* const arguments[] = {const_cast<char*>(program), nullptr};
+  execve(program, arguments, environment);
   _exit(kExitCannotExecute);
 }
 
@@ -39,10 +52,15 @@
 
 TemporaryFile::~TemporaryFile() { unlink(path_.c_str()); }
 
-ChildProcess::ChildProcess(const std::string& program, const std::string& variable,
-                           const std::string& value) {
+ChildProcess::ChildProcess(const std::string& program, const std::string& variable, const std::string& value,
+                           const std::string& output) {
+  std::vector<std::string> environment = EnvironmentWith(variable, value);
+  std::vector<char*> pointers;
+  pointers.reserve(environment.size() + 1);
+  for (std::string& entry : environment) pointers.push_back(entry.data());
+  pointers.push_back(nullptr);
   pid_ = fork();
-  if (pid_ == 0) Execute(program, variable, value);
+  if (pid_ == 0) Execute(program.c_str(), pointers.data(), output.c_str());
 }
 
 ChildProcess::~ChildProcess() {
@@ -51,9 +69,23 @@
   waitpid(pid_, nullptr, 0);
 }
 
-bool ChildProcess::IsRunning() {
-  if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) pid_ = -1;
-  return pid_ > 0;
+std::optional<int> ChildProcess::ExitStatus() {
+  int status = 0;
+  if (pid_ > 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
+    pid_ = -1;
+    exit_status_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
+  return exit_status_;
+}
+
+void ChildProcess::Signal(int signal) {
+  if (pid_ > 0) kill(pid_, signal);
+}
+
+int ChildProcess::OpenDescriptors() const {
+  std::error_code gone;
+  std::filesystem::directory_iterator entries("/proc/" + std::to_string(pid_) + "/fd", gone);
+  return gone ? 0 : static_cast<int>(std::distance(begin(entries), end(entries)));
 }
 
 double ChildProcess::ProcessorSeconds() const {
--- a/lab/child_process.h
+++ b/lab/child_process.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <optional>
 #include <string>
 
 namespace gateway::lab {
@@ -23,17 +24,24 @@
   std::string path_;
 };
 
-// A child process without output. Killed and waited for on destruction.
+// A child process. Killed and waited for on destruction.
 class ChildProcess {
  public:
-  // Starts `program`, without arguments, with one variable more in its environment. A program that can't be
-  // started shows as a process that is not running.
-  ChildProcess(const std::string& program, const std::string& variable, const std::string& value);
+  // Starts `program`, without arguments, with one variable more in its environment. What it writes is
+  // appended to the file `output`. A program that can't be started shows as a process that is not running.
+  ChildProcess(const std::string& program, const std::string& variable, const std::string& value,
+               const std::string& output = "/dev/null");
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
-  bool IsRunning();
+  bool IsRunning() { return pid_ > 0 && !ExitStatus().has_value(); }
+  // Of a process that has ended: its exit status, or the negative number of the signal that ended it.
+  std::optional<int> ExitStatus();
+  // Does nothing to a process that has ended.
+  void Signal(int signal);
+  // Descriptors that it has open. 0 where the process is gone.
+  int OpenDescriptors() const;
   // Of user and system together, since its start. 0 where the process is gone.
   double ProcessorSeconds() const;
   // The highest so far. 0 where the process is gone.
@@ -41,6 +49,7 @@
 
  private:
   pid_t pid_ = -1;  // -1: not started, or ended and waited for
+  std::optional<int> exit_status_;
 };
 
 }  // namespace gateway::lab
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -2,7 +2,10 @@
 // experiment. Option names and the fields of the JSON reports are read by scripts: they are stable.
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <atomic>
+#include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
 #include <filesystem>
 #include <fstream>
@@ -17,6 +20,7 @@
 #include "lab/gateway_process_experiment.h"
 #include "lab/report.h"
 #include "lab/slow_start_experiment.h"
+#include "lab/soak/soak.h"
 
 namespace gateway::lab {
 namespace {
@@ -172,6 +176,72 @@
   return ExitCode(shown);
 }
 
+struct SoakCommand {
+  soak::SoakOptions options;
+  std::string seeds = "1";   // a number, or the first and the last with a hyphen between
+  int described_breaks = 5;  // of a seed, at most
+};
+
+CLI::App* AddSoakCommand(CLI::App* app, SoakCommand* command) {
+  CLI::App* soak = app->add_subcommand(
+      "soak", "real gateways on loopback, failures at seeded moments, every rule checked for every request");
+  soak->add_option("--gateway", command->options.program, "the program")->capture_default_str();
+  soak->add_option("--seeds", command->seeds, "a number, or a range as 1-50")->capture_default_str();
+  soak->add_option("--seconds", command->options.duration_s, "of each seed")
+      ->check(CLI::Range(6.0, 3600.0))
+      ->capture_default_str();
+  soak->add_option("--jobs", command->options.jobs, "seeds that are played at the same time")
+      ->check(CLI::Range(1, 64))
+      ->capture_default_str();
+  soak->add_option("--logs", command->options.log_directory, "keep the gateways' logs in this directory")
+      ->check(CLI::ExistingDirectory);
+  return soak;
+}
+
+// False where it is neither a number nor a range.
+bool ParseSeeds(const std::string& text, soak::SoakOptions* options) {
+  char* end = nullptr;
+  options->first_seed = std::strtoull(text.c_str(), &end, 10);
+  uint64_t last = options->first_seed;
+  if (*end == '-') last = std::strtoull(end + 1, &end, 10);
+  constexpr uint64_t kMaxSeeds = 100000;
+  if (text.empty() || *end != 0 || last < options->first_seed || last - options->first_seed >= kMaxSeeds) {
+    return false;
+  }
+  options->seeds = static_cast<int>(last - options->first_seed) + 1;
+  return true;
+}
+
+std::atomic<bool> soak_interrupted{false};
+
+// Fails where a rule was broken. Ctrl-C ends it after the seeds that are being played, with their report.
+int RunSoakCommand(SoakCommand command, const std::string& json_path) {
+  if (!ParseSeeds(command.seeds, &command.options)) {
+    std::fprintf(stderr, "gateway-lab: --seeds takes a number or a range as 1-50, not \"%s\"\n",
+                 command.seeds.c_str());
+    return 1;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGINT, [](int) { soak_interrupted = true; });
+  std::vector<soak::SoakResult> results;
+  size_t breaks = 0;
+  soak::PlaySoaks(
+      command.options, [] { return soak_interrupted.load(); },
+      [&](const soak::SoakResult& result) {
+        std::printf("%s\n", soak::Summarize(result).c_str());
+        size_t described = std::min(result.breaks.size(), static_cast<size_t>(command.described_breaks));
+        for (size_t i = 0; i < described; ++i) {
+          std::fputs(soak::DescribeBreak(command.options, result, result.breaks[i]).c_str(), stdout);
+        }
+        std::fflush(stdout);
+        breaks += result.breaks.size();
+        results.push_back(result);
+      });
+  std::printf("%zu of %d seeds played, %zu breaks\n", results.size(), command.options.seeds, breaks);
+  if (!json_path.empty()) std::ofstream(json_path) << soak::ToJson(results);
+  return ExitCode(breaks == 0);
+}
+
 int Main(int argc, char** argv) {
   CLI::App app{"gateway-lab: what a fleet of gateways does, in simulated time and on loopback"};
   app.require_subcommand(1);
@@ -182,12 +252,15 @@
   SlowStartCommand slow_start_command;
   GatewayProcessOptions process_options;
   CapacityCommand capacity_command;
+  SoakCommand soak_command;
   process_options.program = (std::filesystem::path(argv[0]).parent_path() / "api-gateway").string();
   capacity_command.program = process_options.program;
+  soak_command.options.program = process_options.program;
   CLI::App* fleet = AddFleetCommand(&app, &fleet_command);
   CLI::App* slow_start = AddSlowStartCommand(&app, &slow_start_command);
   CLI::App* process = AddGatewayProcessCommand(&app, &process_options);
   CLI::App* capacity = AddCapacityCommand(&app, &capacity_command);
+  CLI::App* soak = AddSoakCommand(&app, &soak_command);
   CLI11_PARSE(app, argc, argv);
 
   try {
@@ -195,6 +268,7 @@
     if (*slow_start) return RunSlowStartCommand(slow_start_command, json_path);
     if (*process) return RunGatewayProcessCommand(process_options, json_path);
     if (*capacity) return RunCapacityCommand(capacity_command, json_path);
+    if (*soak) return RunSoakCommand(soak_command, json_path);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "gateway-lab: %s\n", error.what());
     return 1;
--- /dev/null
+++ b/lab/soak/client.cpp
@@ -0,0 +1,173 @@
+#include "lab/soak/client.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+
+namespace gateway::lab::soak {
+namespace {
+
+constexpr double kMeanPauseS = 0.05;
+constexpr double kLongPauseShare = 0.05;
+constexpr double kLongPauseS = 1;
+constexpr double kPipelinedShare = 0.1;
+constexpr int kMaxPipelined = 3;
+constexpr double kSlowShare = 0.05;
+constexpr double kSlowPauseS = 0.1;
+constexpr double kLeavingShare = 0.05;
+constexpr double kMaxStayS = 0.3;
+constexpr double kMinTimeoutShare = 0.5;  // of the class's deadline
+// How long after its time an answer is still waited for, so that a late one is told from one that never
+// comes.
+constexpr double kPatienceS = 4;
+constexpr double kRetryConnectS = 0.02;
+
+void Sleep(double duration_s) { std::this_thread::sleep_for(std::chrono::duration<double>(duration_s)); }
+
+}  // namespace
+
+Client::Client(History* history, const Gateways* gateways, const Options& options)
+    : history_(history),
+      gateways_(*gateways),
+      options_(options),
+      random_(options.seed),
+      gateway_(options.number % static_cast<int>(gateways->size())) {
+  thread_ = std::thread([this] { Run(); });
+}
+
+Client::~Client() {
+  Stop();
+  thread_.join();
+}
+
+void Client::Run() {
+  while (!stopping_) {
+    Sleep(random_.Uniform() < kLongPauseShare ? kLongPauseS : random_.Exponential(kMeanPauseS));
+    if (!EnsureConnected()) {
+      Sleep(kRetryConnectS);
+      continue;
+    }
+    SendBatch();
+  }
+}
+
+// On a new connection only where the gateway is in service; else to another gateway.
+bool Client::EnsureConnected() {
+  if (connection_ != nullptr) return true;
+  const SupervisedGateway& gateway = *gateways_[static_cast<size_t>(gateway_)];
+  GatewayView view = gateway.View();
+  if (view.in_service) connection_ = Connection::Connect(view.port);
+  kills_at_connect_ = view.kills;
+  if (connection_ == nullptr) gateway_ = random_.Below(static_cast<int>(gateways_.size()));
+  return connection_ != nullptr;
+}
+
+Client::Sent Client::MakeRequest() {
+  int number = random_.Below(kRequestClasses);
+  auto request_class = static_cast<RequestClass>(number);
+  double deadline_s = options_.deployment.classes[number].deadline_s;
+  char id[24];
+  std::snprintf(id, sizeof(id), "%08x%08x", static_cast<unsigned>(options_.number + 1),
+                static_cast<unsigned>(++requests_));
+  Sent sent;
+  sent.id = id;
+  sent.timeout_s = deadline_s * random_.Between(kMinTimeoutShare, 1);
+  bool get = request_class == RequestClass::kIdempotent;
+  sent.text = std::string(get ? "GET /" : "POST /") + ClassName(request_class) + " HTTP/1.1\r\nHost: a\r\n";
+  sent.text += "Request-Id: " + sent.id + "\r\nX-Tier: business\r\n";
+  sent.text += "Cookie: client=00000000";
+  sent.text += std::string(id, 8) + "\r\n";
+  sent.text += "Request-Timeout-Ms: " + std::to_string(static_cast<int>(sent.timeout_s * 1000)) + "\r\n";
+  sent.text += "X-Call-Terms: units=1,spread=1,first=0\r\n";
+  if (request_class == RequestClass::kIdempotencyKey) sent.text += "Idempotency-Key: k" + sent.id + "\r\n";
+  sent.text += get ? "\r\n" : "Content-Length: 4\r\n\r\nbody";
+  RequestRecord record;
+  record.id = sent.id;
+  record.request_class = request_class;
+  record.timeout_s = sent.timeout_s;
+  record.gateway = gateway_;
+  record.sent_s = history_->Now();
+  sent.record = history_->AddRequest(record);
+  return sent;
+}
+
+void Client::SendBatch() {
+  std::vector<Sent> batch;
+  bool pipelined = random_.Uniform() < kPipelinedShare;
+  int count = pipelined ? 2 + random_.Below(kMaxPipelined - 1) : 1;
+  std::string text;
+  for (int i = 0; i < count; ++i) {
+    batch.push_back(MakeRequest());
+    text += batch.back().text;
+  }
+  if (random_.Uniform() < kSlowShare) {
+    connection_->Send(text.substr(0, text.size() / 2));
+    Sleep(kSlowPauseS);
+    text.erase(0, text.size() / 2);
+  }
+  connection_->Send(text);
+  // The time of a pipelined request begins with the answer before it, for which one who leaves does not wait.
+  if (!pipelined && random_.Uniform() < kLeavingShare) return Leave(batch);
+  for (size_t i = 0; i < batch.size(); ++i) {
+    history_->MarkSent(batch[i].record);
+    if (AwaitAnswer(batch[i])) continue;
+    connection_.reset();
+    std::vector<Sent> rest(batch.begin() + static_cast<std::ptrdiff_t>(i) + 1, batch.end());
+    EndRest(rest, history_->EndOf(batch[i].record));
+    return SendAgain(batch);
+  }
+}
+
+void Client::Leave(const std::vector<Sent>& batch) {
+  for (const Sent& request : batch) history_->MarkSent(request.record);
+  connection_->WaitForInput(random_.Between(0, kMaxStayS));
+  bool answered = connection_->WaitForInput(0);
+  connection_.reset();
+  for (const Sent& request : batch) {
+    history_->EndRequest(request.record, answered ? RequestEnd::kUnobserved : RequestEnd::kClientLeft);
+  }
+}
+
+// Those behind a request whose connection has ended. One that was answered by "Connection: close" took them
+// with it unread.
+void Client::EndRest(const std::vector<Sent>& rest, RequestEnd end) {
+  if (end == RequestEnd::kAnswered) end = RequestEnd::kClosedUnread;
+  for (const Sent& request : rest) history_->EndRequest(request.record, end);
+}
+
+RequestEnd Client::EndOfConnection(ReadResult result) const {
+  if (gateways_[static_cast<size_t>(gateway_)]->View().kills != kills_at_connect_) {
+    return RequestEnd::kGatewayDown;
+  }
+  if (result == ReadResult::kTimeout) return RequestEnd::kNoAnswer;
+  if (result == ReadResult::kReset) return RequestEnd::kClosedUnread;
+  return connection_->WasEndedOverUnreadBytes() ? RequestEnd::kClosedUnread : RequestEnd::kClosedRead;
+}
+
+bool Client::AwaitAnswer(const Sent& request) {
+  Message response;
+  ReadResult result = connection_->ReadMessage(request.timeout_s + kPatienceS, &response);
+  if (result != ReadResult::kMessage) {
+    history_->EndRequest(request.record, EndOfConnection(result));
+    return false;
+  }
+  history_->EndRequest(request.record, RequestEnd::kAnswered, response.Status());
+  return response.Field("Connection") != "close";
+}
+
+// What the gateway's closing crossed is sent once more, on a new connection.
+void Client::SendAgain(const std::vector<Sent>& requests) {
+  for (const Sent& request : requests) {
+    if (history_->EndOf(request.record) != RequestEnd::kClosedUnread) continue;
+    double end_s = history_->Now() + 1;
+    while (!EnsureConnected() && history_->Now() < end_s) Sleep(kRetryConnectS);
+    if (connection_ == nullptr) return;
+    Sent again = request;
+    again.record = history_->AddSendingAgain(request.record, gateway_);
+    connection_->Send(again.text);
+    history_->MarkSent(again.record);
+    if (!AwaitAnswer(again)) connection_.reset();
+  }
+}
+
+}  // namespace gateway::lab::soak
--- /dev/null
+++ b/lab/soak/history.cpp
@@ -0,0 +1,51 @@
+#include "lab/soak/history.h"
+
+#include <utility>
+
+namespace gateway::lab::soak {
+
+size_t History::AddSendingAgain(size_t index, int gateway) {
+  std::lock_guard lock(mutex_);
+  RequestRecord again = data_.requests[index];
+  again.gateway = gateway;
+  again.sent_again = true;
+  again.end = RequestEnd::kPending;
+  data_.requests.push_back(again);
+  return data_.requests.size() - 1;
+}
+
+void History::MarkSent(size_t index) {
+  std::lock_guard lock(mutex_);
+  data_.requests[index].sent_s = Now();
+}
+
+RequestEnd History::EndOf(size_t index) {
+  std::lock_guard lock(mutex_);
+  return data_.requests[index].end;
+}
+
+void History::EndRequest(size_t index, RequestEnd end, int status) {
+  std::lock_guard lock(mutex_);
+  RequestRecord& request = data_.requests[index];
+  request.end = end;
+  request.status = status;
+  request.ended_s = Now();
+}
+
+void History::EndAttempt(size_t index, AttemptEnd end) {
+  std::lock_guard lock(mutex_);
+  data_.attempts[index].end = end;
+  data_.attempts[index].ended_s = Now();
+}
+
+void History::EndNotice(size_t index) {
+  std::lock_guard lock(mutex_);
+  data_.notices[index].until_s = Now();
+}
+
+HistoryData History::Take() {
+  std::lock_guard lock(mutex_);
+  return std::exchange(data_, {});
+}
+
+}  // namespace gateway::lab::soak
--- /dev/null
+++ b/lab/soak/stand_ins.cpp
@@ -0,0 +1,228 @@
+#include "lab/soak/stand_ins.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <thread>
+
+#include "lab/random.h"
+
+namespace gateway::lab::soak {
+namespace {
+
+using nlohmann::json;
+
+// Longer than any request lives: whoever waits for so long has been left.
+constexpr double kForgottenS = 120;
+
+std::string Response(const std::string& status, const std::string& fields, const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+// The number that follows `name` in a request's head; below zero where there is none.
+long QueryNumber(const std::string& head, const std::string& name) {
+  size_t at = head.find(name);
+  return at == std::string::npos ? -1 : std::atol(head.c_str() + at + name.size());
+}
+
+}  // namespace
+
+DiscoveryStandIn::DiscoveryStandIn(History* history, const std::vector<int>& ports)
+    : history_(history),
+      entries_(ports.size()),
+      first_([this](Connection& connection) { Serve(connection); }),
+      second_([this](Connection& connection) { Serve(connection); }) {
+  for (size_t i = 0; i < ports.size(); ++i) entries_[i].port = ports[i];
+}
+
+DiscoveryStandIn::~DiscoveryStandIn() {
+  std::lock_guard lock(mutex_);
+  stopping_ = true;
+  changed_.notify_all();
+}
+
+json DiscoveryStandIn::FullList() {
+  std::lock_guard lock(mutex_);
+  return List(-1);
+}
+
+void DiscoveryStandIn::SetState(int backend, ListState state) {
+  std::lock_guard lock(mutex_);
+  Entry& entry = entries_[static_cast<size_t>(backend)];
+  if (entry.state == state) return;
+  entry.state = state;
+  entry.changed_at_index = ++index_;
+  if (state == ListState::kReady) {
+    if (entry.notice) history_->EndNotice(*entry.notice);
+    entry.notice.reset();
+    entry.notice_due = false;
+  } else if (!entry.notice) {
+    entry.notice_due = true;
+    if (!silent_) RecordNotice(backend);
+  }
+  changed_.notify_all();
+}
+
+void DiscoveryStandIn::RecordNotice(int backend) {
+  Entry& entry = entries_[static_cast<size_t>(backend)];
+  entry.notice_due = false;
+  entry.notice = history_->AddNotice({backend, history_->Now(), kForgottenS});
+}
+
+void DiscoveryStandIn::SetSilent(bool silent) {
+  std::lock_guard lock(mutex_);
+  silent_ = silent;
+  for (size_t i = 0; i < entries_.size(); ++i) {
+    if (!silent && entries_[i].notice_due) RecordNotice(static_cast<int>(i));
+  }
+  changed_.notify_all();
+}
+
+void DiscoveryStandIn::EndConnections() {
+  first_.EndConnections();
+  second_.EndConnections();
+}
+
+void DiscoveryStandIn::Serve(Connection& connection) {
+  Message request;
+  while (connection.ReadMessage(kForgottenS, &request) == ReadResult::kMessage) {
+    long after = QueryNumber(request.head, "after=");
+    double wait_s = static_cast<double>(QueryNumber(request.head, "wait_ms=")) / 1000;
+    std::string reply = AwaitReply(after, wait_s);
+    if (reply.empty() || !connection.Send(reply)) return;
+  }
+}
+
+// Empty where the soak ends.
+std::string DiscoveryStandIn::AwaitReply(long after, double wait_s) {
+  std::unique_lock lock(mutex_);
+  auto has_news = [&] { return stopping_ || (!silent_ && static_cast<long>(index_) > after); };
+  auto wait = std::chrono::duration<double>(std::max(0.0, wait_s));
+  changed_.wait_for(lock, wait, has_news);
+  changed_.wait(lock, [&] { return stopping_ || !silent_; });
+  if (stopping_) return "";
+  return Response("200 OK", "", List(after).dump());
+}
+
+json DiscoveryStandIn::Describe(size_t backend) const {
+  const Entry& entry = entries_[backend];
+  const char* status = entry.state == ListState::kReady      ? "active"
+                       : entry.state == ListState::kDraining ? "leaving"
+                                                             : "left";
+  return {{"name", "s-" + std::to_string(backend)},
+          {"address", "127.0.0.1:" + std::to_string(entry.port)},
+          {"zone", "a"},
+          {"type", "std"},
+          {"group", static_cast<int>(backend) / 2},
+          {"status", status},
+          {"weight", 1.0},
+          {"since_ms", 0}};
+}
+
+// The full list, or what changed after an index.
+json DiscoveryStandIn::List(long after) const {
+  bool full = after < 0;
+  json endpoints = json::array();
+  for (size_t i = 0; i < entries_.size(); ++i) {
+    bool listed = full ? entries_[i].state != ListState::kGone
+                       : static_cast<long>(entries_[i].changed_at_index) > after;
+    if (listed) endpoints.push_back(Describe(i));
+  }
+  return {{"index", index_}, {"snapshot", full}, {"endpoints", endpoints}};
+}
+
+CounterStandIn::CounterStandIn()
+    : first_([this](Connection& connection) { Serve(connection); }),
+      second_([this](Connection& connection) { Serve(connection); }) {}
+
+void CounterStandIn::LoseState() {
+  std::lock_guard lock(mutex_);
+  totals_.clear();
+}
+
+double CounterStandIn::Add(const std::string& key, double amount) {
+  std::lock_guard lock(mutex_);
+  return totals_[key] += amount;
+}
+
+// A call is a RESP2 array: *4, then the length and the text of TALLY, the key, the amount and the expiry.
+void CounterStandIn::Serve(Connection& connection) {
+  constexpr int kLinesOfACall = 9;
+  constexpr int kKeyLine = 4;
+  constexpr int kAmountLine = 6;
+  std::vector<std::string> lines;
+  std::string line;
+  while (connection.ReadLine(kForgottenS, &line) == ReadResult::kMessage) {
+    lines.push_back(line);
+    if (lines.size() < kLinesOfACall) continue;
+    while (silent_) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    std::string total = std::to_string(Add(lines[kKeyLine], std::atof(lines[kAmountLine].c_str())));
+    lines.clear();
+    std::string reply = "$";
+    reply += std::to_string(total.size()) + "\r\n" + total + "\r\n";
+    if (!connection.Send(reply)) return;
+  }
+}
+
+BackendStandIn::BackendStandIn(History* history, int number, uint64_t seed)
+    : history_(history),
+      number_(number),
+      seed_(seed),
+      server_([this](Connection& connection) { Serve(connection); }) {}
+
+void BackendStandIn::Serve(Connection& connection) {
+  while (ServeOne(connection)) {
+  }
+}
+
+bool BackendStandIn::ServeOne(Connection& connection) {
+  if (!connection.HasBytes() && !connection.WaitForInput(kForgottenS)) return false;
+  AttemptRecord attempt;
+  attempt.first_byte_s = history_->Now();
+  Message request;
+  if (connection.ReadMessage(kForgottenS, &request) != ReadResult::kMessage) return false;
+  attempt.request_id = request.Field("Request-Id");
+  attempt.backend = number_;
+  attempt.begun_s = history_->Now();
+  attempt.told_timeout_s = std::atof(request.Field("Request-Timeout-Ms").c_str()) / 1000;
+  size_t index = history_->AddAttempt(attempt);
+  uint64_t id = std::strtoull(attempt.request_id.c_str(), nullptr, 16);
+  Random random(policy::MixBits(seed_ ^ id) + attempts_++);
+  double draw = random.Uniform();
+  double service_s = 0.15 * random.Uniform() * random.Uniform();
+  AttemptEnd end = Answer(connection, draw, service_s);
+  history_->EndAttempt(index, end);
+  return end != AttemptEnd::kReset && end != AttemptEnd::kGivenUp;
+}
+
+AttemptEnd BackendStandIn::Answer(Connection& connection, double draw, double service_s) {
+  constexpr double kHangs = 0.02;
+  constexpr double kResets = 0.04;
+  constexpr double kResetsInTheAnswer = 0.05;
+  constexpr double kFails = 0.06;
+  constexpr double kNotStarted = 0.08;
+  constexpr double kHangS = 4;
+  bool hangs = hanging_ || draw < kHangs;
+  if (connection.WaitForInput(hangs ? kHangS : service_s)) return AttemptEnd::kGivenUp;
+  if (hangs || draw < kResets) {
+    connection.Reset();
+    return AttemptEnd::kReset;
+  }
+  if (draw < kResetsInTheAnswer) {
+    connection.Send("HTTP/1.1 200 OK\r\nContent-Le");
+    connection.Reset();
+    return AttemptEnd::kReset;
+  }
+  if (draw < kFails) {
+    connection.Send(Response("500 Internal Server Error", "", ""));
+    return AttemptEnd::kError;
+  }
+  if (draw < kNotStarted) {
+    connection.Send(Response("503 Service Unavailable", "Not-Started: 1\r\n", ""));
+    return AttemptEnd::kNotStarted;
+  }
+  return connection.Send(Response("200 OK", "", "ok")) ? AttemptEnd::kAnswered : AttemptEnd::kGivenUp;
+}
+
+}  // namespace gateway::lab::soak
