Count a request that waited for the counter as demand once

What callers saw: tenants whose plan borrows got smaller grants than their demand share, where other plans' requests waited for the counter. Cause: QuotaCheck::Assess counted the demand and runs again after the reply. Change: RecordDemand is called once, at the arrival. In the soak a backend records an attempt's end before it sends it, since the gateway may act on it before the stand-in's thread goes on.

--- a/lab/soak/stand_ins.cpp
+++ b/lab/soak/stand_ins.cpp
@@ -26,6 +26,21 @@
   return at == std::string::npos ? -1 : std::atol(head.c_str() + at + name.size());
 }
 
+constexpr double kMaxServiceS = 0.15;
+
+// How an attempt ends; kOpen for one that hangs.
+AttemptEnd DrawEnd(double draw) {
+  constexpr double kHangs = 0.02;
+  constexpr double kResets = 0.05;
+  constexpr double kFails = 0.06;
+  constexpr double kNotStarted = 0.08;
+  if (draw < kHangs) return AttemptEnd::kOpen;
+  if (draw < kResets) return AttemptEnd::kReset;
+  if (draw < kFails) return AttemptEnd::kError;
+  if (draw < kNotStarted) return AttemptEnd::kNotStarted;
+  return AttemptEnd::kAnswered;
+}
+
 }  // namespace
 
 DiscoveryStandIn::DiscoveryStandIn(History* history, const std::vector<int>& ports)
@@ -189,40 +204,30 @@
   size_t index = history_->AddAttempt(attempt);
   uint64_t id = std::strtoull(attempt.request_id.c_str(), nullptr, 16);
   Random random(policy::MixBits(seed_ ^ id) + attempts_++);
-  double draw = random.Uniform();
-  double service_s = 0.15 * random.Uniform() * random.Uniform();
-  AttemptEnd end = Answer(connection, draw, service_s);
-  history_->EndAttempt(index, end);
-  return end != AttemptEnd::kReset && end != AttemptEnd::kGivenUp;
+  return Answer(connection, index, DrawEnd(random.Uniform()),
+                kMaxServiceS * random.Uniform() * random.Uniform());
 }
 
-AttemptEnd BackendStandIn::Answer(Connection& connection, double draw, double service_s) {
-  constexpr double kHangs = 0.02;
-  constexpr double kResets = 0.04;
-  constexpr double kResetsInTheAnswer = 0.05;
-  constexpr double kFails = 0.06;
-  constexpr double kNotStarted = 0.08;
+// The end is recorded before it is sent: what the gateway does next may come before this thread goes on.
+bool BackendStandIn::Answer(Connection& connection, size_t index, AttemptEnd end, double service_s) {
   constexpr double kHangS = 4;
-  bool hangs = hanging_ || draw < kHangs;
-  if (connection.WaitForInput(hangs ? kHangS : service_s)) return AttemptEnd::kGivenUp;
-  if (hangs || draw < kResets) {
-    connection.Reset();
-    return AttemptEnd::kReset;
-  }
-  if (draw < kResetsInTheAnswer) {
-    connection.Send("HTTP/1.1 200 OK\r\nContent-Le");
-    connection.Reset();
-    return AttemptEnd::kReset;
-  }
-  if (draw < kFails) {
-    connection.Send(Response("500 Internal Server Error", "", ""));
-    return AttemptEnd::kError;
-  }
-  if (draw < kNotStarted) {
-    connection.Send(Response("503 Service Unavailable", "Not-Started: 1\r\n", ""));
-    return AttemptEnd::kNotStarted;
+  bool hangs = hanging_ || end == AttemptEnd::kOpen;
+  if (connection.WaitForInput(hangs ? kHangS : service_s)) end = AttemptEnd::kGivenUp;
+  if (end == AttemptEnd::kOpen) end = AttemptEnd::kReset;
+  history_->EndAttempt(index, end);
+  switch (end) {
+    case AttemptEnd::kAnswered: return connection.Send(Response("200 OK", "", "ok"));
+    case AttemptEnd::kError: return connection.Send(Response("500 Internal Server Error", "", ""));
+    case AttemptEnd::kNotStarted:
+      return connection.Send(Response("503 Service Unavailable", "Not-Started: 1\r\n", ""));
+    case AttemptEnd::kReset:
+      if (service_s > kMaxServiceS / 4) connection.Send("HTTP/1.1 200 OK\r\nContent-Le");
+      connection.Reset();
+      return false;
+    case AttemptEnd::kOpen:
+    case AttemptEnd::kGivenUp: return false;
   }
-  return connection.Send(Response("200 OK", "", "ok")) ? AttemptEnd::kAnswered : AttemptEnd::kGivenUp;
+  return false;
 }
 
 }  // namespace gateway::lab::soak
--- a/lab/soak/stand_ins.h
+++ b/lab/soak/stand_ins.h
@@ -96,7 +96,7 @@
  private:
   void Serve(Connection& connection);
   bool ServeOne(Connection& connection);
-  AttemptEnd Answer(Connection& connection, double draw, double service_s);
+  bool Answer(Connection& connection, size_t index, AttemptEnd end, double service_s);
 
   History* const history_;
   const int number_;
--- a/src/policy/admission_policy.cpp
+++ b/src/policy/admission_policy.cpp
@@ -71,6 +71,7 @@
     Tenant& tenant = tenants_.RecordRequest(request, now_s);
     // A tenant has one plan: its quotas were set up by the plan of its first request.
     if (tenant.plan_index != request.plan) return Reject(request.id, RejectReason::kInvalid, actions);
+    quota_check_.RecordDemand(&tenant, request, now_s);
     QuotaAssessment assessment = quota_check_.Assess(&tenant, request, now_s);
     load_shedder_.RecordArrival(request);
     if (quota_check_.IsLookupWorthwhile(tenant, request, assessment, now_s)) {
--- a/src/policy/quota_check.cpp
+++ b/src/policy/quota_check.cpp
@@ -30,11 +30,17 @@
 
 }  // namespace
 
+void QuotaCheck::RecordDemand(Tenant* tenant, const Request& request, double now_s) {
+  TenantQuota& quota = tenant->quota;
+  quota.Refill(now_s, counter_.IsSilent());
+  demand_share_.RecordDemand(&tenant->borrowed, request.cost_units, quota.tokens(), quota.plan().burst_units,
+                             now_s);
+}
+
 QuotaAssessment QuotaCheck::Assess(Tenant* tenant, const Request& request, double now_s) {
   TenantQuota& quota = tenant->quota;
   const PlanSettings& plan = quota.plan();
   quota.Refill(now_s, counter_.IsSilent());
-  demand_share_.RecordDemand(&tenant->borrowed, request.cost_units, quota.tokens(), plan.burst_units, now_s);
   if (!quota.CeilingAllows(request.cost_units)) return {};
   double loss = OverQuotaLoss(plan);
   double concurrency_probability = ProbabilityWithinCap(*tenant, request, now_s);
--- a/src/policy/quota_check.h
+++ b/src/policy/quota_check.h
@@ -36,7 +36,10 @@
         demand_share_(*demand_share),
         random_(*random) {}
 
-  // Decides by what is known now, and counts the request as demand. Charges nothing.
+  // Counts the request as its tenant's demand. To be called once for each, when it arrives.
+  void RecordDemand(Tenant* tenant, const Request& request, double now_s);
+
+  // Decides by what is known now; again for one that has waited for the counter. Charges nothing.
   QuotaAssessment Assess(Tenant* tenant, const Request& request, double now_s);
 
   // Whether the request should wait for the counter, some milliseconds: where the reply may change the
