Cancel a silent attempt only where there is time for another one

What callers saw: 503 shortly before the deadline where hedging is forbidden, though the backend might have answered. Cause: the check of a silent attempt did not look at the time left. Evidence: the new test, with 20 ms left, saw the cancellation on the code before. Change: MayRetry decides before the cancellation too.

--- a/src/policy/admission_policy.cpp
+++ b/src/policy/admission_policy.cpp
@@ -288,7 +288,7 @@
       // With other attempts in flight there, the silence is the backend's and not this request's.
       if (backend->attempts_in_flight > 1) feedback_.RecordFailure(backend, now_s, actions);
       StartAnotherAttempt(request, now_s, actions);
-    } else if (settings_.cancellation_enabled) {
+    } else if (settings_.cancellation_enabled && retry_policy_.MayRetry(*request, now_s)) {
       int last = static_cast<int>(request->attempts.size()) - 1;
       actions->push_back(CancelAttempt{request->request.id, last});
     }
--- a/tests/policy/retry_policy_test.cpp
+++ b/tests/policy/retry_policy_test.cpp
@@ -110,5 +110,26 @@
   EXPECT_TRUE(gateway.Forwarded());
 }
 
+// Hedging is forbidden, and a silent attempt is looked at when too little time is left for another one.
+// Cancelled all the same it could only be rejected next, though its backend may yet answer in time.
+TEST(RetryPolicy, SilentAttemptIsNotCancelledWithoutTimeForAnother) {
+  Settings settings = MakeSettings();
+  settings.hedging_enabled = false;
+  settings.cancellation_enabled = true;
+  settings.counter_enabled = false;
+  for (bool time_for_another : {false, true}) {
+    PolicyFixture gateway(settings);
+    gateway.ServeOneAtATime(0.05, 20);
+    const double check_delay_s = 0.5 * settings.classes[0].latency_objective_s;
+    const double left_s = time_for_another ? 0.5 : 0.02;
+    const uint32_t request = gateway.Arrive({.time_left_s = check_delay_s + left_s, .tenant = 1});
+    ASSERT_TRUE(gateway.Forwarded());
+    gateway.Advance(check_delay_s);
+    gateway.FireTimer(request);
+    EXPECT_EQ(gateway.Find<CancelAttempt>() != nullptr, time_for_another);
+    EXPECT_FALSE(gateway.Rejected());
+  }
+}
+
 }  // namespace
 }  // namespace gateway::policy
