Escape the text of a configuration's error in its log line

What operators saw: a text with quotation marks ended the value, and its rest read as further keys. Cause: the text, which names what stands in the file, was written as it was. Change: QuotedLogValue escapes quotation marks and backslashes. Test: GatewayConfiguration.QuotesTheTextOfAnError, passed with the change.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -45,7 +45,7 @@
     gateway->Reload(config::LoadGatewayConfig(file_name));
     log->Write("configuration_reloaded applied=addresses");
   } catch (const std::exception& error) {
-    log->Write(std::string("configuration_rejected error=\"") + error.what() + "\"");
+    log->Write("configuration_rejected error=" + net::QuotedLogValue(error.what()));
   }
 }
 
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -2,6 +2,7 @@
 #ifndef GATEWAY_NET_LOG_H_
 #define GATEWAY_NET_LOG_H_
 
+#include <string>
 #include <string_view>
 
 namespace gateway::net {
@@ -16,6 +17,16 @@
   ~Log() = default;
 };
 
+// A value of any text, in quotation marks, for a line's key=value. Marks and backslashes in it are escaped.
+inline std::string QuotedLogValue(std::string_view text) {
+  std::string quoted = "\"";
+  for (char c : text) {
+    if (c == '"' || c == '\\') quoted += '\\';
+    quoted += c;
+  }
+  return quoted + '"';
+}
+
 }  // namespace gateway::net
 
 #endif  // GATEWAY_NET_LOG_H_
--- a/tests/net/gateway_configuration_test.cpp
+++ b/tests/net/gateway_configuration_test.cpp
@@ -95,5 +95,18 @@
   for (const auto& [word, change] : others) ExpectConfigurationRejected(word, change);
 }
 
+// The text of an error may hold quotation marks of the file: they must not end the value in the log line.
+TEST(GatewayConfiguration, QuotesTheTextOfAnError) {
+  GatewayFixture fixture(json::array());
+  json config = ConfigJson(UnusedPort(), UnusedPort());
+  config["seed"] = "a\" applied=\"b\\";
+  fixture.gateway->Reload(config.dump());
+  EXPECT_EQ(Exchange(*fixture.gateway->Connect(), kReadinessRequest).status(), 200);
+  fixture.gateway->Signal(SIGTERM);
+  EXPECT_EQ(fixture.gateway->AwaitExit(), 0);
+  const std::string& log = fixture.gateway->log;
+  EXPECT_NE(log.find(R"(error="setting is unreadable: seed=a\" applied=\"b\\")"), std::string::npos) << log;
+}
+
 }  // namespace
 }  // namespace gateway::net
