Name in the log what a reload passes over and what needs a restart

What operators saw: configuration_reloaded applied=addresses, whatever else had changed in the file. Cause: Reload took the addresses and compared nothing but what tells another gateway's file. Change: KeysThatNeedARestart compares limits, settings and whether there is a counter; the line has needs_restart=. Test seen to fail on the program before: GatewayConfiguration.NamesWhatNeedsARestart.

--- a/src/config/gateway_config.cpp
+++ b/src/config/gateway_config.cpp
@@ -118,4 +118,14 @@
   check(fresh.deployment.plan_names == current.deployment.plan_names, "settings.tiers-of-service");
 }
 
+std::vector<std::string> KeysThatNeedARestart(const GatewayConfig& current, const GatewayConfig& fresh) {
+  std::vector<std::string> keys;
+  bool same_limits = fresh.max_sockets == current.max_sockets && fresh.max_memory_mb == current.max_memory_mb;
+  bool same_settings = fresh.settings == current.settings && fresh.deployment == current.deployment;
+  if (!same_limits) keys.emplace_back("limits");
+  if (!same_settings) keys.emplace_back("settings");
+  if (fresh.counter_address.has_value() != current.counter_address.has_value()) keys.emplace_back("counter");
+  return keys;
+}
+
 }  // namespace gateway::config
--- a/src/config/gateway_config.h
+++ b/src/config/gateway_config.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "config/config_error.h"
 #include "config/settings_parser.h"
@@ -39,6 +40,9 @@
 // mistake.
 void CheckSameGateway(const GatewayConfig& current, const GatewayConfig& fresh);
 
+// The keys whose values differ and which a running gateway does not take from `fresh`: they need a restart.
+std::vector<std::string> KeysThatNeedARestart(const GatewayConfig& current, const GatewayConfig& fresh);
+
 }  // namespace gateway::config
 
 #endif  // GATEWAY_CONFIG_GATEWAY_CONFIG_H_
--- a/src/config/settings_parser.h
+++ b/src/config/settings_parser.h
@@ -17,6 +17,8 @@
 
 // What the network code needs of the settings and the policy does not.
 struct DeploymentSettings {
+  bool operator==(const DeploymentSettings&) const = default;
+
   std::vector<std::string> class_names;     // in the order of policy::Settings::classes
   std::vector<std::string> plan_names;      // in the order of policy::Settings::plans
   std::vector<std::string> zone_names;      // a zone's number is its index here
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <exception>
 #include <string>
+#include <utility>
 
 #include "config/config_error.h"
 #include "config/gateway_config.h"
@@ -38,12 +39,16 @@
              std::to_string(local.port()));
 }
 
-// Of a new configuration only the addresses of discovery and counter are applied. One that cannot be used
-// changes nothing.
+// Of a new configuration only the addresses of discovery and counter are applied; what else differs is named
+// in the log. One that cannot be used changes nothing.
 void Reload(const std::string& file_name, net::Gateway* gateway, net::Log* log) {
   try {
-    gateway->Reload(config::LoadGatewayConfig(file_name));
-    log->Write("configuration_reloaded applied=addresses");
+    std::string line = "configuration_reloaded applied=addresses";
+    std::string separator = " needs_restart=";
+    for (const std::string& key : gateway->Reload(config::LoadGatewayConfig(file_name))) {
+      line += std::exchange(separator, ",") + key;
+    }
+    log->Write(line);
   } catch (const std::exception& error) {
     log->Write("configuration_rejected error=" + net::QuotedLogValue(error.what()));
   }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -105,12 +105,13 @@
 
 Gateway::~Gateway() { rejection_log_.Flush(); }
 
-void Gateway::Reload(const config::GatewayConfig& fresh) {
+std::vector<std::string> Gateway::Reload(const config::GatewayConfig& fresh) {
   config::CheckSameGateway(config_, fresh);
   EndpointIds unused;
   ParseCachedList(fresh, &unused);  // for its checks
   discovery_.SwitchTo(fresh.discovery_address);
   if (counter_ && fresh.counter_address) counter_->SwitchTo(*fresh.counter_address);
+  return config::KeysThatNeedARestart(config_, fresh);
 }
 
 void Gateway::Shutdown() { shutdown_.Start(); }
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "config/gateway_config.h"
 #include "net/backend_connection_pool.h"
@@ -41,9 +43,10 @@
   // Begins a graceful shutdown; at its end `io` is stopped.
   void Shutdown();
 
-  // Switches to the addresses of discovery and counter that `fresh` names. Throws config::ConfigError, and
-  // changes nothing, where `fresh` is another gateway's configuration.
-  void Reload(const config::GatewayConfig& fresh);
+  // Switches to the addresses of discovery and counter that `fresh` names. Returns the keys that differ and
+  // need a restart. Throws config::ConfigError, and changes nothing, where `fresh` is another gateway's
+  // configuration.
+  std::vector<std::string> Reload(const config::GatewayConfig& fresh);
 
  private:
   // Policy.
--- a/src/policy/settings.h
+++ b/src/policy/settings.h
@@ -19,6 +19,8 @@
 
 // One class of requests.
 struct ClassSettings {
+  bool operator==(const ClassSettings&) const = default;
+
   double latency_objective_s = 0;     // an answer within this earns the full value
   double deadline_s = 0;              // the longest that a client waits
   double deduplication_window_s = 0;  // with an idempotency key: how long a repeat is dropped
@@ -30,6 +32,8 @@
 
 // One plan. Its quotas hold for each of its tenants over all gateways together.
 struct PlanSettings {
+  bool operator==(const PlanSettings&) const = default;
+
   double rate_units_per_s = 0;  // 0: no rate quota
   double burst_units = 0;
   double ceiling_rate_units_per_s = 0;  // 0: no ceiling
@@ -41,6 +45,8 @@
 };
 
 struct Settings {
+  bool operator==(const Settings&) const = default;
+
   // `request_class`: a valid index into `classes`.
   const ClassSettings& ClassAt(int request_class) const {
     return classes[static_cast<size_t>(request_class)];
--- a/tests/net/gateway_configuration_test.cpp
+++ b/tests/net/gateway_configuration_test.cpp
@@ -95,6 +95,29 @@
   for (const auto& [word, change] : others) ExpectConfigurationRejected(word, change);
 }
 
+// Limits and settings in the file have changed too, which need a restart. An operator who is not told takes
+// them for being in force.
+TEST(GatewayConfiguration, NamesWhatNeedsARestart) {
+  StubDiscovery discovery;
+  GatewayFixture fixture(json::array());
+  json config = ConfigJson(discovery.port(), UnusedPort());
+  fixture.gateway->Reload(config.dump());
+  EXPECT_TRUE(discovery.polls.Wait());
+  StubDiscovery next;
+  config["discovery"] = "127.0.0.1:" + std::to_string(next.port());
+  config["limits"]["sockets"] = 512;
+  config["settings"]["limits"]["try-limit"] = 2;
+  fixture.gateway->Reload(config.dump());
+  EXPECT_TRUE(next.polls.Wait());
+  fixture.gateway->Signal(SIGTERM);
+  EXPECT_EQ(fixture.gateway->AwaitExit(), 0);
+  const std::string& log = fixture.gateway->log;
+  EXPECT_NE(log.find("configuration_reloaded applied=addresses\n"), std::string::npos) << log;
+  EXPECT_NE(log.find("configuration_reloaded applied=addresses needs_restart=limits,settings\n"),
+            std::string::npos)
+      << log;
+}
+
 // The text of an error may hold quotation marks of the file: they must not end the value in the log line.
 TEST(GatewayConfiguration, QuotesTheTextOfAnError) {
   GatewayFixture fixture(json::array());
