--- a/lab/soak/connection.cpp
+++ b/lab/soak/connection.cpp
@@ -202,9 +202,18 @@
 }
 
 int FreePort() {
-  int port = 0;
-  close(Listen(OpenSocket(), &port));
-  return port;
+  constexpr int kFirstPort = 20000;
+  constexpr int kPorts = 12000;  // below those that the system gives to connections
+  static std::atomic<int> next{getpid()};
+  for (int i = 0; i < kPorts; ++i) {
+    int port = kFirstPort + next++ % kPorts;
+    int descriptor = OpenSocket();
+    sockaddr_in address = LoopbackAddress(port);
+    bool is_free = bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    close(descriptor);
+    if (is_free) return port;
+  }
+  throw std::runtime_error("no loopback port is free");
 }
 
 }  // namespace gateway::lab::soak
--- a/lab/soak/connection.h
+++ b/lab/soak/connection.h
@@ -101,7 +101,8 @@
   std::thread thread_;
 };
 
-// A loopback port that nobody listens on now.
+// A loopback port that nobody listens on now, and that no connection of this or another process is given.
+// Each call returns another one.
 int FreePort();
 
 }  // namespace gateway::lab::soak
