Add no wake-up of the event loop where a timer is due soon enough

Cause: while due timers are handled none counts as armed, so that each turn added a wake-up, which made a turn of its own. Change: the queue's next entry is looked at, armed or not.

--- a/src/net/timer_queue.cpp
+++ b/src/net/timer_queue.cpp
@@ -8,7 +8,7 @@
 void TimerQueue::AddPolicyTimer(Clock::time_point due, uint64_t tag) { Add({due, Kind::kPolicyTimer, tag}); }
 
 void TimerQueue::EnsureWakeUpBy(Clock::time_point due) {
-  if (!armed_for_ || due < *armed_for_) Add({due, Kind::kWakeUp, 0});
+  if (entries_.empty() || due < entries_.top().due) Add({due, Kind::kWakeUp, 0});
 }
 
 void TimerQueue::Add(const Entry& entry) {
