Log when a start listened and became ready, with its clocks and processor time

A gateway that was reported as out of step left no line from which one could tell whether it computed, waited or stood still, nor whether a clock was set meanwhile. gateway_listening now has pid=, monotonic_s=, system_s= and cpu_s=; the new line gateway_ready and event_loop_late have the times too.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,6 +16,7 @@
 #include "net/gateway.h"
 #include "net/log_descriptor.h"
 #include "net/non_blocking_log.h"
+#include "net/process_times.h"
 
 namespace gateway {
 namespace {
@@ -36,7 +37,8 @@
 void LogListening(const config::GatewayConfig& config, const boost::asio::ip::tcp::endpoint& local,
                   net::Log* log) {
   log->Write("gateway_listening name=" + config.name + " address=" + local.address().to_string() + ":" +
-             std::to_string(local.port()));
+             std::to_string(local.port()) + " pid=" + std::to_string(getpid()) + " " +
+             net::FormatProcessTimes());
 }
 
 // Of a new configuration only the addresses of discovery and counter are applied; what else differs is named
--- a/src/net/event_loop_monitor.cpp
+++ b/src/net/event_loop_monitor.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "net/process_times.h"
+
 namespace gateway::net {
 namespace {
 
@@ -28,7 +30,7 @@
 void EventLoopMonitor::LogIfLate(Clock::duration late, Clock::time_point now) {
   if (late < kMinLoggedStall || now < next_line_at_) return;
   next_line_at_ = now + kLineInterval;
-  log_.Write("event_loop_late late_s=" + FormatSeconds(late));
+  log_.Write("event_loop_late late_s=" + FormatSeconds(late) + " " + FormatProcessTimes());
 }
 
 }  // namespace gateway::net
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -10,6 +10,7 @@
 #include "net/backend_request.h"
 #include "net/connection_limits.h"
 #include "net/http_field_names.h"
+#include "net/process_times.h"
 
 namespace gateway::net {
 
@@ -79,7 +80,7 @@
           io, config.discovery_address, config.deployment, &endpoint_ids_,
           [this](const EndpointList& list) {
             OnEndpointList(list, list.full ? EndpointUpdateKind::kFull : EndpointUpdateKind::kDelta);
-            ready_ = true;
+            BecomeReady();
           },
           [this] { OnDiscoveryFailed(); }, log),
       timers_(io, this),
@@ -390,7 +391,12 @@
   NotifyPolicy([](AdmissionPolicy& policy, double now_s, Actions* actions) {
     policy.OnEndpointUpdate(now_s, EndpointUpdateKind::kFailed, {}, actions);
   });
-  ready_ = true;
+  BecomeReady();
+}
+
+// Logged once: with gateway_listening it tells how far a start came that did not go on.
+void Gateway::BecomeReady() {
+  if (!std::exchange(ready_, true)) log_.Write("gateway_ready " + FormatProcessTimes());
 }
 
 // Guards against a policy that never answers a request, which would leave the client without an answer. 503
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -84,6 +84,7 @@
   // Discovery.
   void OnEndpointList(const EndpointList& list, policy::EndpointUpdateKind kind);
   void OnDiscoveryFailed();
+  void BecomeReady();
 
   // TimerQueue::Handler.
   void OnRequestDeadline(uint32_t request_id) override;
