--- /dev/null
+++ b/tests/support/gateway_start.h
@@ -0,0 +1,170 @@
+// The gateway as a process whose start is what a test is about: its standard error, its environment and what
+// is done in the process before the program runs are the test's to choose.
+#ifndef GATEWAY_TESTS_SUPPORT_GATEWAY_START_H_
+#define GATEWAY_TESTS_SUPPORT_GATEWAY_START_H_
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/syscall.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "support/test_connection.h"
+#include "support/time_limit.h"
+
+namespace gateway::test_support {
+
+// A file with the text, for as long as the object lives.
+class TemporaryFile {
+ public:
+  explicit TemporaryFile(const std::string& text) {
+    char path[] = "/tmp/api-gateway-test-XXXXXX";
+    int file = mkstemp(path);
+    EXPECT_GE(file, 0);
+    close(file);
+    path_ = path;
+    std::ofstream(path_) << text;
+  }
+  ~TemporaryFile() { unlink(path_.c_str()); }
+  TemporaryFile(const TemporaryFile&) = delete;
+  TemporaryFile& operator=(const TemporaryFile&) = delete;
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+struct GatewayStartOptions {
+  const char* program = API_GATEWAY;
+  int standard_error = STDERR_FILENO;
+  std::vector<std::string> environment;  // NAME=value, beside the test's own variables
+  // Called in the process before it runs the program. Only async-signal-safe functions may be called.
+  std::function<void()> before_program;
+};
+
+// A process that runs the gateway's program. Killed on destruction if it has not ended by then.
+class GatewayStart {
+ public:
+  static constexpr int kDidNotEnd = -1000;  // AwaitExit's result for a process that had to be killed
+
+  // Returns when the process runs the program. It has none of the test's other descriptors then.
+  GatewayStart(const std::string& configuration_path, const GatewayStartOptions& options) {
+    std::vector<std::string> variables = options.environment;
+    variables.push_back("LB_CONFIG=" + configuration_path);
+    for (char** variable = environ; *variable != nullptr; ++variable) variables.emplace_back(*variable);
+    std::vector<char*> environment;
+    environment.reserve(variables.size() + 1);
+    for (std::string& variable : variables) environment.push_back(variable.data());
+    environment.push_back(nullptr);
+    std::string program = options.program;
+    char* arguments[] = {program.data(), nullptr};
+    int ends[2];  // the writer is closed by the program's start
+    EXPECT_EQ(pipe2(ends, O_CLOEXEC), 0);
+    pid_ = fork();
+    if (pid_ == 0) {
+      dup2(options.standard_error, STDERR_FILENO);
+      constexpr int kFirstOther = 3, kPastOthers = 1024;
+      for (int fd = kFirstOther; fd < kPastOthers; ++fd) {
+        if (fd != ends[1]) close(fd);
+      }
+      if (options.before_program) options.before_program();
+      execve(arguments[0], arguments, environment.data());
+      _exit(127);
+    }
+    close(ends[1]);
+    char none;
+    EXPECT_EQ(read(ends[0], &none, 1), 0);
+    close(ends[0]);
+  }
+  ~GatewayStart() {
+    if (pid_ <= 0) return;
+    Signal(SIGKILL);
+    AwaitExit();
+  }
+  GatewayStart(const GatewayStart&) = delete;
+  GatewayStart& operator=(const GatewayStart&) = delete;
+
+  pid_t pid() const { return pid_; }
+  void Signal(int signal) const { kill(pid_, signal); }
+  // Waits for the process to end. Its exit status, or the negative number of the signal that ended it.
+  int AwaitExit() {
+    bool ended = AwaitEnd();
+    if (!ended) Signal(SIGKILL);
+    int status = 0;
+    waitpid(pid_, &status, 0);
+    pid_ = -1;
+    if (!ended) return kDidNotEnd;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
+  // Waits until the gateway listens, and connects to it. Null where it does not come to listen.
+  std::unique_ptr<TestConnection> Connect() const {
+    auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(kLimitS);
+    while (!HasEnded() && std::chrono::steady_clock::now() < limit) {
+      int port = ListeningPort();
+      if (port != 0) return TestConnection::ConnectTo(port);
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return nullptr;
+  }
+
+ private:
+  bool HasEnded() const {
+    siginfo_t ended{};
+    waitid(P_PID, static_cast<id_t>(pid_), &ended, WEXITED | WNOHANG | WNOWAIT);
+    return ended.si_pid != 0;
+  }
+  bool AwaitEnd() const {
+    int descriptor = static_cast<int>(syscall(SYS_pidfd_open, pid_, 0));
+    EXPECT_GE(descriptor, 0);
+    pollfd end{descriptor, POLLIN, 0};
+    bool ended = poll(&end, 1, kLimitS * 1000) == 1;
+    close(descriptor);
+    return ended;
+  }
+  // The port of the process's listening socket; 0 while it has none.
+  int ListeningPort() const {
+    std::set<std::string> sockets = Sockets();
+    std::ifstream table("/proc/net/tcp");
+    std::string line;
+    while (std::getline(table, line)) {
+      std::istringstream fields(line);
+      std::string slot, local, remote, state, queues, timer, retransmits, user, timeout, inode;
+      fields >> slot >> local >> remote >> state >> queues >> timer >> retransmits >> user >> timeout >>
+          inode;
+      constexpr char kListening[] = "0A";
+      if (state != kListening || sockets.count("socket:[" + inode + "]") == 0) continue;
+      return static_cast<int>(std::strtol(local.substr(local.find(':') + 1).c_str(), nullptr, 16));
+    }
+    return 0;
+  }
+  std::set<std::string> Sockets() const {
+    std::set<std::string> sockets;
+    std::error_code error;
+    std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(pid_) + "/fd", error);
+    for (; !error && descriptors != std::filesystem::directory_iterator(); descriptors.increment(error)) {
+      std::error_code closed;
+      sockets.insert(std::filesystem::read_symlink(descriptors->path(), closed).string());
+    }
+    return sockets;
+  }
+
+  pid_t pid_ = -1;
+};
+
+}  // namespace gateway::test_support
+
+#endif  // GATEWAY_TESTS_SUPPORT_GATEWAY_START_H_
