Test that a gateway holds no blocking socket or pipe above standard error

Seen failing on a trial program that keeps a blocking pipe, and passing on the code as it stands. It closes the gap that the system-call filter of GatewayStart leaves: a read or a connect on a blocking descriptor looks like any other.

--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -13,10 +13,12 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <system_error>
 #include <thread>
 #include <vector>
 
@@ -128,6 +130,26 @@
     }
     return 0;
   }
+  // The sockets and pipes above standard error on which a read or a write may wait, as /proc names them.
+  std::vector<std::string> BlockingSocketsAndPipes() const {
+    std::filesystem::path process = std::filesystem::path("/proc") / std::to_string(pid_);
+    std::vector<std::string> blocking;
+    for (const auto& entry : std::filesystem::directory_iterator(process / "fd")) {
+      std::filesystem::path descriptor = entry.path().filename();
+      std::error_code closed_meanwhile;
+      std::string target = std::filesystem::read_symlink(entry.path(), closed_meanwhile);
+      bool waits_for_peer = target.rfind("socket:", 0) == 0 || target.rfind("pipe:", 0) == 0;
+      if (!waits_for_peer || std::stoi(descriptor) <= STDERR_FILENO) continue;
+      std::ifstream info(process / "fdinfo" / descriptor);
+      std::string key;
+      while (info >> key && key != "flags:") {
+      }
+      long flags = 0;
+      info >> std::oct >> flags;
+      if ((flags & O_NONBLOCK) == 0) blocking.push_back(target);
+    }
+    return blocking;
+  }
   std::unique_ptr<TestConnection> Connect() const { return TestConnection::ConnectTo(port); }
   int port = 0;                 // that it listens on; 0 where it did not start
   std::string first_line, log;  // the first line of the log; after AwaitExit the others
