Read the kernel's TCP table and write a test's files in one place each

Cause: tests/support read /proc/net/tcp in three ways (one of them in gateway_start.h) and wrote a configuration file in two, and the loop of reloads stood twice in gateway_log_test.cpp. Change: TcpTable gives typed rows that all three use, TemporaryFile has a header of its own and serves GatewayProcess too, the loop is one function. No check is changed.

--- a/tests/net/gateway_log_test.cpp
+++ b/tests/net/gateway_log_test.cpp
@@ -26,16 +26,21 @@
   }
 }
 
+// Has the gateway write more lines than a pipe of the least size holds, and serve a request after each.
+void ExpectServesThroughReloads(GatewayProcess* gateway, TestConnection* client) {
+  for (int i = 0; i < kRounds; ++i) {
+    gateway->Signal(SIGHUP);
+    ASSERT_TRUE(Exchange(*client, kReadinessRequest).complete) << "round " << i;
+  }
+}
+
 // A log collector hangs: the pipe of the gateway's standard error fills up. A gateway that waited in the
 // write of a line would answer nobody from then on, in the whole fleet at once.
 TEST(GatewayLog, GoesOnServingWhileNobodyReadsIt) {
   GatewayProcess gateway(ConfigJson(UnusedPort(), UnusedPort()), API_GATEWAY, rlim_t{0},
                          LogReading::kFirstLine);
   std::unique_ptr<TestConnection> client = gateway.Connect();
-  for (int i = 0; i < kRounds; ++i) {
-    gateway.Signal(SIGHUP);
-    ASSERT_TRUE(Exchange(*client, kReadinessRequest).complete) << "round " << i;
-  }
+  ASSERT_NO_FATAL_FAILURE(ExpectServesThroughReloads(&gateway, client.get()));
   gateway.Signal(SIGTERM);
   EXPECT_EQ(gateway.AwaitExit(), 0);
   ExpectWholeLines(gateway.log);
@@ -46,10 +51,7 @@
   GatewayProcess gateway(ConfigJson(UnusedPort(), UnusedPort()), API_GATEWAY, rlim_t{0},
                          LogReading::kFirstLine);
   std::unique_ptr<TestConnection> client = gateway.Connect();
-  for (int i = 0; i < kRounds; ++i) {
-    gateway.Signal(SIGHUP);
-    ASSERT_TRUE(Exchange(*client, kReadinessRequest).complete) << "round " << i;
-  }
+  ASSERT_NO_FATAL_FAILURE(ExpectServesThroughReloads(&gateway, client.get()));
   EXPECT_TRUE(gateway.ReadLogUntil("log_resumed log_lines_dropped="));
   gateway.Signal(SIGTERM);
   EXPECT_EQ(gateway.AwaitExit(), 0);
--- a/tests/net/gateway_start_test.cpp
+++ b/tests/net/gateway_start_test.cpp
@@ -22,6 +22,7 @@
 #include "support/controlled_clock.h"
 #include "support/gateway_fixture.h"
 #include "support/system_call_filter.h"
+#include "support/temporary_file.h"
 #include "support/traced_process.h"
 
 namespace gateway::net {
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -22,6 +22,7 @@
 #include <thread>
 #include <vector>
 
+#include "support/temporary_file.h"
 #include "support/test_connection.h"
 #include "support/time_limit.h"
 
@@ -43,13 +44,8 @@
                           LogReading reading = LogReading::kAll)
       : GatewayProcess(config.dump(), program, descriptors, reading) {}
   GatewayProcess(const std::string& config, const char* program, rlim_t descriptors,
-                 LogReading reading = LogReading::kAll) {
-    char path[] = "/tmp/api-gateway-test-XXXXXX";
-    int file = mkstemp(path);
-    EXPECT_GE(file, 0);
-    path_ = path;
-    EXPECT_EQ(write(file, config.data(), config.size()), static_cast<ssize_t>(config.size()));
-    close(file);
+                 LogReading reading = LogReading::kAll)
+      : configuration_(config) {
     int ends[2];
     EXPECT_EQ(pipe(ends), 0);
     if (reading == LogReading::kFirstLine) {
@@ -59,7 +55,7 @@
     if (pid_ == 0) {
       dup2(ends[1], 2);
       for (int fd = 3; fd < 1024; ++fd) close(fd);
-      setenv("LB_CONFIG", path, 1);
+      setenv("LB_CONFIG", configuration_.path().c_str(), 1);
       rlimit limit{descriptors, descriptors};
       if (descriptors > 0) setrlimit(RLIMIT_NOFILE, &limit);
       execl(program, program, static_cast<char*>(nullptr));
@@ -79,7 +75,6 @@
       Signal(SIGTERM);
       EXPECT_EQ(AwaitExit(), 0);
     }
-    unlink(path_.c_str());
   }
   // Reads the log, of which only the first line was read, until it has `text`. False if that does not come.
   bool ReadLogUntil(const std::string& text) {
@@ -93,9 +88,9 @@
   pid_t pid() const { return pid_; }
   // Replaces the configuration file in one step and sends SIGHUP.
   void Reload(const std::string& config) {
-    std::string fresh = path_ + ".new";
+    std::string fresh = configuration_.path() + ".new";
     std::ofstream(fresh) << config;
-    EXPECT_EQ(rename(fresh.c_str(), path_.c_str()), 0);
+    EXPECT_EQ(rename(fresh.c_str(), configuration_.path().c_str()), 0);
     Signal(SIGHUP);
   }
   // Waits for the process to end. Its exit status, or the negative number of the signal that ended it.
@@ -173,7 +168,7 @@
 
   pid_t pid_ = -1;
   int log_fd_ = -1;
-  std::string path_;
+  TemporaryFile configuration_;
   std::thread log_reader_;
 };
 
--- a/tests/support/gateway_start.h
+++ b/tests/support/gateway_start.h
@@ -12,42 +12,20 @@
 
 #include <chrono>
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
-#include <fstream>
 #include <functional>
 #include <memory>
 #include <set>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "support/tcp_table.h"
 #include "support/test_connection.h"
 #include "support/time_limit.h"
 
 namespace gateway::test_support {
 
-// A file with the text, for as long as the object lives.
-class TemporaryFile {
- public:
-  explicit TemporaryFile(const std::string& text) {
-    char path[] = "/tmp/api-gateway-test-XXXXXX";
-    int file = mkstemp(path);
-    EXPECT_GE(file, 0);
-    close(file);
-    path_ = path;
-    std::ofstream(path_) << text;
-  }
-  ~TemporaryFile() { unlink(path_.c_str()); }
-  TemporaryFile(const TemporaryFile&) = delete;
-  TemporaryFile& operator=(const TemporaryFile&) = delete;
-  const std::string& path() const { return path_; }
-
- private:
-  std::string path_;
-};
-
 struct GatewayStartOptions {
   const char* program = API_GATEWAY;
   int standard_error = STDERR_FILENO;
@@ -138,16 +116,10 @@
   // The port of the process's listening socket; 0 while it has none.
   int ListeningPort() const {
     std::set<std::string> sockets = Sockets();
-    std::ifstream table("/proc/net/tcp");
-    std::string line;
-    while (std::getline(table, line)) {
-      std::istringstream fields(line);
-      std::string slot, local, remote, state, queues, timer, retransmits, user, timeout, inode;
-      fields >> slot >> local >> remote >> state >> queues >> timer >> retransmits >> user >> timeout >>
-          inode;
-      constexpr char kListening[] = "0A";
-      if (state != kListening || sockets.count("socket:[" + inode + "]") == 0) continue;
-      return static_cast<int>(std::strtol(local.substr(local.find(':') + 1).c_str(), nullptr, 16));
+    for (const TcpSocket& socket : TcpTable()) {
+      if (socket.state != TcpState::kListening) continue;
+      if (sockets.count("socket:[" + std::to_string(socket.inode) + "]") == 0) continue;
+      return static_cast<int>(socket.local_port);
     }
     return 0;
   }
--- a/tests/support/tcp_table.h
+++ b/tests/support/tcp_table.h
@@ -9,20 +9,47 @@
 #include <initializer_list>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "support/time_limit.h"
 
 namespace gateway::test_support {
 
-// Whether a connection to `port` is still to come up.
-inline bool IsConnecting(int port) {
+// The states of a socket that tests ask for, as the kernel numbers them.
+enum class TcpState : unsigned { kSynSent = 0x02, kListening = 0x0A };
+
+struct TcpSocket {
+  unsigned local_port = 0;
+  unsigned remote_port = 0;
+  TcpState state{};
+  unsigned unread_bytes = 0;
+  unsigned long inode = 0;  // names the socket in /proc/<pid>/fd
+};
+
+inline std::vector<TcpSocket> TcpTable() {
   std::ifstream table("/proc/net/tcp");
-  char wanted[16];
-  std::snprintf(wanted, sizeof(wanted), ":%04X 02 ", port);  // remote address, SYN sent
+  std::vector<TcpSocket> sockets;
   for (std::string line; std::getline(table, line);) {
-    if (line.find(wanted) != std::string::npos) return true;
+    TcpSocket socket;
+    unsigned state = 0;
+    // sl, local and remote address, state, bytes unsent and unread, timer, retransmits, uid, timeout, inode
+    constexpr char kFormat[] = " %*d: %*x:%x %*x:%x %x %*x:%x %*x:%*x %*x %*u %*d %lu";
+    constexpr int kFields = 5;  // the table's heading has none of them
+    int fields = std::sscanf(line.c_str(), kFormat, &socket.local_port, &socket.remote_port, &state,
+                             &socket.unread_bytes, &socket.inode);
+    if (fields != kFields) continue;
+    socket.state = static_cast<TcpState>(state);
+    sockets.push_back(socket);
   }
-  return false;
+  return sockets;
+}
+
+// Whether a connection to `port` is still to come up.
+inline bool IsConnecting(int port) {
+  std::vector<TcpSocket> table = TcpTable();
+  return std::any_of(table.begin(), table.end(), [port](const TcpSocket& socket) {
+    return socket.remote_port == static_cast<unsigned>(port) && socket.state == TcpState::kSynSent;
+  });
 }
 
 // Waits until a connection to `port` is being opened, or until none is any more.
@@ -35,18 +62,10 @@
 
 // Whether bytes from a peer at `port` have come that their receiver has not read yet.
 inline bool HasArrived(int port) {
-  std::ifstream table("/proc/net/tcp");
-  std::string line;
-  std::getline(table, line);
-  while (std::getline(table, line)) {
-    unsigned remote = 0, unread = 0;
-    // sl, local address, remote address, state, bytes unsent and unread
-    if (std::sscanf(line.c_str(), " %*d: %*x:%*x %*x:%x %*x %*x:%x", &remote, &unread) == 2 &&
-        remote == static_cast<unsigned>(port) && unread > 0) {
-      return true;
-    }
-  }
-  return false;
+  std::vector<TcpSocket> table = TcpTable();
+  return std::any_of(table.begin(), table.end(), [port](const TcpSocket& socket) {
+    return socket.remote_port == static_cast<unsigned>(port) && socket.unread_bytes > 0;
+  });
 }
 
 // Waits until unread bytes from one of the peers have come.
