Review cases: answers of another request, and requests sent at once

Cause: a connection is used again 10 ms after an answer, whatever the backend still sends on it; the time of a request that waits behind another one counts from when it is parsed. Change: two cases under review/; nothing else is changed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
+[ -n "$run" ] && [ -x build/review/3 ] || exit 2
+exec build/review/3 review/3 "$run"
--- a/review/support/sites.h
+++ b/review/support/sites.h
@@ -52,6 +52,37 @@
           {"tiers-of-service", {Plan("retail", 4, 16), Plan("treasury", 11, 33)}}};
 }
 
+// thessaloniki-main: hedging and cancellation, grace 2 s, three rooms, `thumb` is safe to repeat.
+inline json ThessalonikiSettings(int gateways) {
+  return {{"me", 0},
+          {"peers-total", gateways},
+          {"zone", 0},
+          {"zones", {"room-a", "room-b", "room-c"}},
+          {"kinds", {"std-3core"}},
+          {"resolution-s", 0.004},
+          {"discovery", "pushed"},
+          {"specifics",
+           {{"units-top", 6}, {"may-count", true}, {"counter-timeout-s", 0.03}, {"counter-price", 0.01}}},
+          {"prices", {{"cross-zone", 0.012}}},
+          {"limits",
+           {{"cancel", true},
+            {"parallel-tries", true},
+            {"retry-after", true},
+            {"max-retry-after-s", 1.0},
+            {"try-limit", 6},
+            {"conn-idle-s", 15.0},
+            {"connect-timeout-s", 0.25}}},
+          {"invariants",
+           {{"cold-from", 0.17},
+            {"warm-after-s", 17.0},
+            {"tip-multiple", 4.0},
+            {"tip-after-s", 1.0},
+            {"ask-within-s", 10.0},
+            {"drain-grace-s", 2.0}}},
+          {"request-classes", {Class("thumb", "free", 1.2, 4.0)}},
+          {"tiers-of-service", {Plan("basic", 3, 12), Plan("pro", 18, 45)}}};
+}
+
 inline json Configuration(const std::string& name, const Discovery& discovery, const Counter& counter,
                           const json& settings) {
   return {{"name", name},
--- a/review/support/stand_ins.h
+++ b/review/support/stand_ins.h
@@ -162,8 +162,17 @@
     }
   }
 
+  // Reads the bytes that have come, at least one. Returns false at the end of the connection.
+  bool ReadSome(std::string* bytes) {
+    char chunk[16384];
+    ssize_t n = recv(fd_, chunk, sizeof(chunk), 0);
+    if (n > 0) bytes->assign(chunk, static_cast<size_t>(n));
+    return n > 0;
+  }
+
   // Ends the sending side: the peer reads all that was sent and then an orderly end.
   void EndSending() { shutdown(fd_, SHUT_WR); }
+  void EndBoth() { shutdown(fd_, SHUT_RDWR); }
   void Close() {
     if (fd_ >= 0) close(fd_);
     fd_ = -1;
