Count unusable responses of backends by fault in the log, and read them in one place

Change: an attempt's result carries the fault of its response, and responses_unusable counts the faults in at most one line a second. EventCountLog is the counting part of RejectionLog, now used by both. ResponseReader holds the loop over interim responses that stood in backend_connection and discovery_exchange. Decisions stay the same.

--- a/src/net/attempt_result.h
+++ b/src/net/attempt_result.h
@@ -9,10 +9,18 @@
 
 namespace gateway::net {
 
+// Why a response of a backend could not be used.
+enum class ResponseFault {
+  kNone,       // it could be used, or none was received
+  kMalformed,  // it is not HTTP, or exceeds a limit
+  kTruncated,  // the connection ended within it, or it has no length
+};
+
 struct AttemptResult {
   policy::CallResult result = policy::CallResult::kOk;
   double duration_s = 0;         // from the start of the attempt to its end
   double actual_cost_units = 0;  // the cost that the backend measured; 0 if it reported none
+  ResponseFault fault = ResponseFault::kNone;
   // The following fields are only set for a 200 response.
   std::string headers;  // end-to-end field lines, each terminated by CRLF
   std::string body;
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -7,13 +7,6 @@
 
 using policy::CallResult;
 
-namespace {
-
-constexpr size_t kMaxResponseBodyBytes = kMaxBodyBytes;
-constexpr int kMaxInterimResponses = 16;  // 1xx responses before the final response
-
-}  // namespace
-
 BackendConnection::BackendConnection(asio::io_context& io, Owner* owner, const Timeouts& timeouts,
                                      uint32_t backend, const tcp::endpoint& address)
     : io_(io),
@@ -37,8 +30,7 @@
   written_bytes_ = message_bytes_ = 0;
   started_at_ = Clock::now();
   attempt_deadline_ = started_at_ + Seconds(std::max(0.0, attempt_.timeout_s));
-  interim_responses_ = 0;
-  ResetParser(&parser_, kMaxResponseBodyBytes);
+  response_.emplace(kMaxBodyBytes);
   if (!connected) return Connect();
   ArmTimer(attempt_deadline_);
   WriteRequest();
@@ -157,31 +149,31 @@
 // A response that is delimited only by the end of the connection (RFC 9112, 6.3) cannot be distinguished from
 // a truncated one, so it never counts as a success.
 void BackendConnection::OnReadError(error_code error) {
-  bool ended = error == asio::error::eof;
-  error_code incomplete;
-  if (ended && IsRequestWritten() && parser_->got_some()) parser_->put_eof(incomplete);
-  bool complete = !incomplete && parser_->is_done();
-  if (ended && complete && parser_->get().result() != http::status::ok) return OnResponse(false);
-  Fail(IsRequestWritten() ? CallResult::kReset : CallResult::kConnectFailed);
+  bool started = response_->HasStarted() || buffer_.size() > 0;
+  bool complete = error == asio::error::eof && IsRequestWritten() && !response_->FeedEnd();
+  if (complete && response_->message().result() != http::status::ok) return OnResponse(false);
+  FailResponse(started ? ResponseFault::kTruncated : ResponseFault::kNone);
 }
 
 void BackendConnection::ParseResponse() {
-  for (;;) {
-    // Malformed HTTP, or a response that exceeds a limit, ends the exchange.
-    bool failed = FeedParser(*parser_, buffer_) || interim_responses_ > kMaxInterimResponses;
-    if (failed) return Fail(IsRequestWritten() ? CallResult::kReset : CallResult::kConnectFailed);
-    if (!parser_->is_done()) return;
-    if (http::to_status_class(parser_->get().result_int()) != http::status_class::informational) break;
-    ++interim_responses_;
-    ResetParser(&parser_, kMaxResponseBodyBytes);
-  }
+  if (response_->Feed(buffer_)) return FailResponse(ResponseFault::kMalformed);
+  if (!response_->IsComplete()) return;
   // If the request is not completely written, it has not started to run, and it is unclear which request the
   // response belongs to.
   if (!IsRequestWritten()) return Fail(CallResult::kConnectFailed);
-  OnResponse(parser_->keep_alive() && buffer_.size() == 0);
+  OnResponse(response_->KeepsConnectionAlive() && buffer_.size() == 0);
 }
 
-void BackendConnection::OnResponse(bool reusable) { Complete(ToAttemptResult(&parser_->get()), reusable); }
+void BackendConnection::OnResponse(bool reusable) {
+  Complete(ToAttemptResult(&response_->message()), reusable);
+}
+
+void BackendConnection::FailResponse(ResponseFault fault) {
+  AttemptResult outcome;
+  outcome.result = IsRequestWritten() ? CallResult::kReset : CallResult::kConnectFailed;
+  outcome.fault = fault;
+  Complete(std::move(outcome), false);
+}
 
 void BackendConnection::Fail(CallResult result) {
   AttemptResult outcome;
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -11,6 +11,7 @@
 #include "net/attempt_result.h"
 #include "net/clock.h"
 #include "net/http_framing.h"
+#include "net/response_reader.h"
 #include "net/socket_util.h"
 
 namespace gateway::net {
@@ -131,6 +132,7 @@
   bool HasPendingEvent();
   void CloseIdle();
   void OnResponse(bool reusable);
+  void FailResponse(ResponseFault fault);
   void Fail(policy::CallResult result);
   void Complete(AttemptResult outcome, bool reusable);
 
@@ -142,14 +144,13 @@
   tcp::socket socket_;
   asio::steady_timer timer_;  // connect timeout, then the attempt's timeout, then the idle timeout
   boost::beast::flat_buffer buffer_{kMaxBodyBytes + kMaxHeaderBytes};
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<ResponseReader> response_;
   State state_ = State::kNew;
   bool read_pending_ = false;
 
   BackendAttempt attempt_;  // the current or last attempt; its functions are empty once it has ended
   std::string message_;     // the serialized request, until it is written
   size_t written_bytes_ = 0, message_bytes_ = 0;
-  int interim_responses_ = 0;
   Clock::time_point started_at_, attempt_deadline_, idle_since_;
 };
 
--- a/src/net/discovery_exchange.cpp
+++ b/src/net/discovery_exchange.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr size_t kMaxListBytes = size_t{8} << 20;
-constexpr int kMaxInterimResponses = 16;  // 1xx responses before the final response
 
 }  // namespace
 
@@ -21,9 +20,8 @@
       response_deadline_(started_at_ + request_.max_wait + timeouts.response),
       socket_(std::move(connection)),
       timer_(socket_.get_executor()),
-      max_silence_(request_.max_wait + timeouts.silence) {
-  ResetParser(&parser_, kMaxListBytes);
-}
+      response_(kMaxListBytes),
+      max_silence_(request_.max_wait + timeouts.silence) {}
 
 void DiscoveryExchange::Start() {
   ArmTimer();
@@ -39,7 +37,7 @@
 }
 
 tcp::socket DiscoveryExchange::TakeConnection() {
-  if (!parser_->keep_alive() || buffer_.size() > 0) CloseSocket(socket_);
+  if (!response_.KeepsConnectionAlive() || buffer_.size() > 0) CloseSocket(socket_);
   return std::move(socket_);
 }
 
@@ -75,34 +73,15 @@
   buffer_.commit(size);
   if (size > 0) max_silence_ = timeouts_.silence;
   ArmTimer();
-  error_code parse_error;
-  if (error == asio::error::eof && parser_->got_some()) {
-    parser_->put_eof(parse_error);
-  } else if (error) {
-    return Fail();
-  }
-  if (!parse_error) parse_error = ParseReceived();
-  if (parse_error) return Fail();
-  if (parser_->is_done()) return OnResponseComplete();
-  if (error) return Fail();
+  bool ended = error == asio::error::eof;
+  if (error && !ended) return Fail();
+  if (ended ? response_.FeedEnd() : response_.Feed(buffer_)) return Fail();
+  if (response_.IsComplete()) return OnResponseComplete();
   Receive();
 }
 
-// Parses the received bytes and skips interim responses.
-error_code DiscoveryExchange::ParseReceived() {
-  error_code error;
-  if (!parser_->is_done()) error = FeedParser(*parser_, buffer_);
-  while (!error && parser_->is_done() && parser_->get().result_int() / 100 == 1) {
-    if (interim_responses_ >= kMaxInterimResponses) return http::error::bad_status;
-    ++interim_responses_;
-    ResetParser(&parser_, kMaxListBytes);
-    error = FeedParser(*parser_, buffer_);
-  }
-  return error;
-}
-
 void DiscoveryExchange::OnResponseComplete() {
-  if (parser_->get().result() != http::status::ok) return Fail();
+  if (response_.message().result() != http::status::ok) return Fail();
   state_ = State::kEnded;
   timer_.cancel();
   owner_->OnResponse(this);
--- a/src/net/discovery_exchange.h
+++ b/src/net/discovery_exchange.h
@@ -3,11 +3,10 @@
 #define GATEWAY_NET_DISCOVERY_EXCHANGE_H_
 
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "net/clock.h"
-#include "net/http_framing.h"
+#include "net/response_reader.h"
 #include "net/socket_util.h"
 
 namespace gateway::net {
@@ -62,7 +61,7 @@
   Clock::time_point started_at() const { return started_at_; }
 
   // The response's body. Only valid in OnResponse.
-  const std::string& body() const { return parser_->get().body(); }
+  const std::string& body() const { return response_.message().body(); }
   // Releases the connection, which is closed if it cannot be reused. Only valid in OnResponse.
   tcp::socket TakeConnection();
 
@@ -73,7 +72,6 @@
   void Send();
   void Receive();
   void OnReceived(error_code error, size_t size);
-  error_code ParseReceived();
   void OnResponseComplete();
   void Fail();
   void ArmTimer();
@@ -89,8 +87,7 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
-  int interim_responses_ = 0;
+  ResponseReader response_;
   Clock::duration max_silence_;  // limit of the wait for the next byte
   bool overdue_ = false;
 };
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -87,7 +87,8 @@
       timers_(io, this),
       event_loop_monitor_(&timers_, log),
       shutdown_(io, server_, requests_, LongestDeadlineS(config)),
-      rejection_log_(io, log) {
+      rejection_log_(io, log),
+      response_fault_log_(io, log) {
   if (config.counter_address) {
     counter_.emplace(io, *config.counter_address, kCounterTimeoutMultiple * config.settings.counter_timeout_s,
                      config.deployment.connect_timeout_s, [this](const policy::CounterReply& reply) {
@@ -105,7 +106,10 @@
   discovery_.Start();
 }
 
-Gateway::~Gateway() { rejection_log_.Flush(); }
+Gateway::~Gateway() {
+  rejection_log_.Flush();
+  response_fault_log_.Flush();
+}
 
 std::vector<std::string> Gateway::Reload(const config::GatewayConfig& new_config) {
   config::CheckSameGateway(config_, new_config);
@@ -346,7 +350,9 @@
 void Gateway::OnAttemptEnded(uint32_t request_id, int attempt, AttemptResult end) {
   InFlightRequest* request = requests_.Find(request_id);
   if (request == nullptr) return;
-  request->attempts[static_cast<size_t>(attempt)].in_flight = false;
+  InFlightAttempt& ended = request->attempts[static_cast<size_t>(attempt)];
+  ended.in_flight = false;
+  response_fault_log_.Count(end.fault, ended.backend_id, Clock::now());
   requests_.BeginOutcomeHandling(request_id);
   // If the attempt was not sent because the client disconnected, the policy must learn of the disconnection
   // before the outcome, or it would retry.
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -22,6 +22,7 @@
 #include "net/log.h"
 #include "net/rejection_log.h"
 #include "net/request_parser.h"
+#include "net/response_fault_log.h"
 #include "net/timer_queue.h"
 #include "policy/admission_policy.h"
 
@@ -109,6 +110,7 @@
   EventLoopMonitor event_loop_monitor_;
   GracefulShutdown shutdown_;
   RejectionLog rejection_log_;
+  ResponseFaultLog response_fault_log_;
   bool ready_ = false;  // discovery has returned an endpoint list or failed once
   // The request for which the policy's OnRequest is running, or kNoRequest. Its client was found to be
   // connected just before.
--- a/src/net/rejection_log.h
+++ b/src/net/rejection_log.h
@@ -2,23 +2,19 @@
 #ifndef GATEWAY_NET_REJECTION_LOG_H_
 #define GATEWAY_NET_REJECTION_LOG_H_
 
-#include <array>
 #include <cstddef>
-#include <string>
 #include <string_view>
 
 #include "net/clock.h"
+#include "net/event_count_log.h"
 #include "net/log.h"
 #include "net/socket_util.h"
 #include "policy/actions.h"
 
 namespace gateway::net {
 
-// Counts requests by the cause of their end. A line contains the non-zero counts since the previous line and
-// the client request id of the last request: "requests_ended over_quota=3 client_left=1 last_id=1f".
-//
-// Invariant: each request is counted in exactly one line, which is written within a second, or earlier by
-// Flush().
+// Counts requests by the cause of their end. The label of a line is the client request id of the last
+// request: "requests_ended over_quota=3 client_left=1 last_id=1f".
 class RejectionLog {
  public:
   enum class Cause {
@@ -34,27 +30,21 @@
     kShutdown,
     kClientLeft,
   };
-  static constexpr size_t kCauseCount = 9;
 
   // `log` must outlive this object.
-  RejectionLog(asio::io_context& io, Log* log) : log_(*log), timer_(io) {}
+  RejectionLog(asio::io_context& io, Log* log);
 
   static Cause CauseFor(policy::RejectReason reason);
 
-  void Count(Cause cause, std::string_view client_request_id, Clock::time_point now);
+  void Count(Cause cause, std::string_view client_request_id, Clock::time_point now) {
+    counts_.Count(static_cast<size_t>(cause), client_request_id, now);
+  }
 
   // Writes the counts that have not been written yet.
-  void Flush();
+  void Flush() { counts_.Flush(); }
 
  private:
-  void FlushLater();
-
-  Log& log_;
-  std::array<size_t, kCauseCount> counts_{};
-  std::string last_id_;
-  Clock::time_point next_line_at_{};
-  asio::steady_timer timer_;  // expires when the next line may be written
-  bool flush_pending_ = false;
+  EventCountLog counts_;
 };
 
 }  // namespace gateway::net
--- a/tests/net/gateway_log_test.cpp
+++ b/tests/net/gateway_log_test.cpp
@@ -1,5 +1,6 @@
 // Tests of a running gateway's log, most of them while nobody reads it.
 #include <csignal>
+#include <map>
 #include <regex>
 #include <sstream>
 #include <string>
@@ -77,5 +78,25 @@
   EXPECT_TRUE(std::regex_search(fixture.gateway->log, ready)) << fixture.gateway->log;
 }
 
+// Backends send responses that cannot be used. Their clients get errors or wait for a retry, and an operator
+// has to see in the log that the responses were the cause, and in what way they were unusable.
+TEST(GatewayLog, ReportsWhyResponsesCouldNotBeUsed) {
+  std::map<std::string, std::string> responses = {
+      {"malformed", "garbage\r\n\r\n"}, {"truncated", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"}};
+  for (const auto& [fault, response] : responses) {
+    StubBackend backend([&text = response](const HttpMessage&, TestConnection& connection) {
+      connection.Write(text);
+      return std::string();
+    });
+    GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+    Exchange(*fixture.gateway->Connect(), MakeRequest("send-lead"));
+    fixture.gateway->Signal(SIGTERM);
+    EXPECT_EQ(fixture.gateway->AwaitExit(), 0);
+    EXPECT_NE(fixture.gateway->log.find("responses_unusable " + fault + "=1 last_backend="),
+              std::string::npos)
+        << fixture.gateway->log;
+  }
+}
+
 }  // namespace
 }  // namespace gateway::net
