Fail a response that is followed by bytes which are no second copy of it

Cause: BackendConnection::ParseResponse took a response for complete as soon as its framing said so. The bytes behind its end were known, and used only to close the connection. Change: before a complete response is used, what lies behind it in the buffer or in the socket is looked at (ResponseEndCheck). Nothing: the response is used. A complete second response with the same status and body: used, since the rest of a body does not begin again. The first part of one: the exchange goes on until it is whole. Anything else: the attempt failed and may have run, whatever the status, Not-Started included. That holds for Content-Length, chunked coding, responses without a body, HTTP/1.0 and Connection: close. It counts as an error that the backend sent, not as a broken connection, which would begin a slow start. Why this works: a cut response is recognized by its rest, which is looked at in the same handler in which the response would be used. A rest that comes later cannot be told from nothing. Test: GatewayConnections.ReusesNoStaleBackendConnection expected that a response with "unasked" right behind it is served.

--- a/src/net/attempt_result.h
+++ b/src/net/attempt_result.h
@@ -11,9 +11,10 @@
 
 // Why a response of a backend could not be used.
 enum class ResponseFault {
-  kNone,       // it could be used, or none was received
-  kMalformed,  // it is not HTTP, or exceeds a limit
-  kTruncated,  // the connection ended within it, or it has no length
+  kNone,        // it could be used, or none was received
+  kMalformed,   // it is not HTTP, or exceeds a limit
+  kTruncated,   // the connection ended within it, or it has no length
+  kEndInDoubt,  // bytes follow it that may belong to its body (ResponseEndCheck)
 };
 
 struct AttemptResult {
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -31,6 +31,7 @@
   started_at_ = Clock::now();
   attempt_deadline_ = started_at_ + Seconds(std::max(0.0, attempt_.timeout_s));
   response_.emplace(kMaxBodyBytes);
+  response_end_.emplace();
   if (!connected) return Connect();
   ArmTimer(attempt_deadline_);
   WriteRequest();
@@ -149,6 +150,7 @@
 // A response that is delimited only by the end of the connection (RFC 9112, 6.3) cannot be distinguished from
 // a truncated one, so it never counts as a success.
 void BackendConnection::OnReadError(error_code error) {
+  if (response_->IsComplete()) return FailResponse(ResponseFault::kEndInDoubt);
   bool started = response_->HasStarted() || buffer_.size() > 0;
   bool complete = error == asio::error::eof && IsRequestWritten() && !response_->FeedEnd();
   if (complete && response_->message().result() != http::status::ok) return OnResponse(false);
@@ -161,16 +163,39 @@
   // If the request is not completely written, it has not started to run, and it is unclear which request the
   // response belongs to.
   if (!IsRequestWritten()) return Fail(CallResult::kConnectFailed);
-  OnResponse(response_->KeepsConnectionAlive() && buffer_.size() == 0);
+  CheckResponseEnd();
+}
+
+// Guards against a response whose length is too small: it would be passed on cut off, with a length that fits
+// the cut, so that the client could not tell. All bytes that have arrived by now are taken into account. They
+// may still be in the socket, since a read ends after kReadChunkBytes and the process may have stalled after
+// it.
+void BackendConnection::CheckResponseEnd() {
+  error_code error;
+  if (buffer_.size() == 0) {
+    buffer_.commit(socket_.receive(buffer_.prepare(kReadChunkBytes), 0, error));
+  }
+  switch (response_end_->Check(response_->message(), buffer_)) {
+    case ResponseEndCheck::Verdict::kNothingFollows:
+      return OnResponse(response_->KeepsConnectionAlive() && error == asio::error::would_block);
+    case ResponseEndCheck::Verdict::kCopyFollows: return OnResponse(false);
+    case ResponseEndCheck::Verdict::kUndecided: return;  // the exchange continues with the next read
+    case ResponseEndCheck::Verdict::kDoubtful: return FailResponse(ResponseFault::kEndInDoubt);
+  }
 }
 
 void BackendConnection::OnResponse(bool reusable) {
   Complete(ToAttemptResult(&response_->message()), reusable);
 }
 
+// Ends the attempt because its response cannot be used, whatever its status: a status that says that the
+// request has not run is not trusted either. A complete response counts as an error that the backend sent,
+// since it shows that the connection works.
 void BackendConnection::FailResponse(ResponseFault fault) {
   AttemptResult outcome;
-  outcome.result = IsRequestWritten() ? CallResult::kReset : CallResult::kConnectFailed;
+  outcome.result = !IsRequestWritten()                   ? CallResult::kConnectFailed
+                   : fault == ResponseFault::kEndInDoubt ? CallResult::kError
+                                                         : CallResult::kReset;
   outcome.fault = fault;
   Complete(std::move(outcome), false);
 }
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -11,6 +11,7 @@
 #include "net/attempt_result.h"
 #include "net/clock.h"
 #include "net/http_framing.h"
+#include "net/response_end_check.h"
 #include "net/response_reader.h"
 #include "net/socket_util.h"
 
@@ -127,6 +128,7 @@
   void Read();
   void OnReadError(error_code error);
   void ParseResponse();
+  void CheckResponseEnd();
   void ArmTimer(Clock::time_point when);
   void OnTimer();
   bool HasPendingEvent();
@@ -145,6 +147,7 @@
   asio::steady_timer timer_;  // connect timeout, then the attempt's timeout, then the idle timeout
   boost::beast::flat_buffer buffer_{kMaxBodyBytes + kMaxHeaderBytes};
   std::optional<ResponseReader> response_;
+  std::optional<ResponseEndCheck> response_end_;
   State state_ = State::kNew;
   bool read_pending_ = false;
 
--- a/src/net/response_fault_log.h
+++ b/src/net/response_fault_log.h
@@ -14,12 +14,13 @@
 namespace gateway::net {
 
 // Counts responses by their fault. The label of a line is the backend of the last one:
-// "responses_unusable malformed=2 truncated=1 last_backend=3735928559".
+// "responses_unusable malformed=2 end_in_doubt=1 last_backend=3735928559".
 class ResponseFaultLog {
  public:
   // `log` must outlive this object.
   ResponseFaultLog(asio::io_context& io, Log* log)
-      : counts_(io, log, {"responses_unusable", {"none", "malformed", "truncated"}, "last_backend"}) {}
+      : counts_(io, log,
+                {"responses_unusable", {"none", "malformed", "truncated", "end_in_doubt"}, "last_backend"}) {}
 
   // Counts the response unless it has no fault.
   void Count(ResponseFault fault, uint32_t backend, Clock::time_point now) {
--- a/tests/net/backend_connection_pool_test.cpp
+++ b/tests/net/backend_connection_pool_test.cpp
@@ -6,12 +6,10 @@
 #include <memory>
 #include <string>
 #include <thread>
-#include <utility>
-#include <vector>
 
-#include "support/event_loop.h"
 #include "support/http_message.h"
 #include "support/manual_listener.h"
+#include "support/pool_fixture.h"
 #include "support/ready_sockets.h"
 #include "support/stub_server.h"
 #include "support/test_connection.h"
@@ -22,19 +20,6 @@
 using namespace test_support;
 using policy::CallResult;
 
-// A pool in an event loop that the test runs.
-struct PoolFixture : EventLoop {
-  explicit PoolFixture(double min_idle_before_reuse_s = 0, double idle_s = 30, double connect_timeout_s = 5)
-      : pool(io, idle_s, connect_timeout_s, 0.5, 100, min_idle_before_reuse_s) {}
-  uint64_t Send(uint32_t backend, const std::string& request) {
-    return pool.Send(
-        backend, [request](double) { return request; }, 50,
-        [this](AttemptResult result) { results.push_back(std::move(result)); });
-  }
-  std::vector<AttemptResult> results;  // in the order in which the attempts ended
-  BackendConnectionPool pool;
-};
-
 // An attempt is cancelled just after its last bytes have been written, while the completion handler of the
 // write is still queued. A pool that relied on the handler would report the request as not sent, and a retry
 // would run it a second time. The request is far larger than both sockets' buffers, so that its last bytes
@@ -71,11 +56,6 @@
   EXPECT_EQ(cancelled, CancelResult::kMayHaveRun) << "the backend has received the complete request";
 }
 
-void AwaitReadable(PoolFixture& fixture, const TestConnection& connection) {
-  pollfd ready{connection.fd(), POLLIN, 0};
-  fixture.RunUntil([&] { return poll(&ready, 1, 0) > 0; });
-}
-
 // Cancels an attempt whose connection is not established yet. Returns the backend's side of that connection.
 std::unique_ptr<TestConnection> CancelWhileConnecting(PoolFixture& fixture, ManualListener& backend) {
   uint64_t attempt = fixture.Send(1, "unsent");
@@ -87,7 +67,7 @@
 void ExpectWrittenAttemptContinues(PoolFixture& fixture, ManualListener& backend) {
   uint64_t attempt = fixture.Send(1, "complete");
   auto connection = backend.Accept();
-  AwaitReadable(fixture, *connection);
+  fixture.AwaitReadable(*connection);
   EXPECT_FALSE(fixture.pool.CancelIfUnsent(attempt)) << "the backend has received the complete request";
   connection->Write(OkResponse("x"));
   fixture.RunUntil([&] { return fixture.results.size() == 1; });
@@ -105,7 +85,7 @@
   auto first = CancelWhileConnecting(fixture, backend);
   uint64_t partial = fixture.Send(1, request);
   auto second = backend.Accept();
-  AwaitReadable(fixture, *second);
+  fixture.AwaitReadable(*second);
   EXPECT_TRUE(fixture.pool.CancelIfUnsent(partial));
   while (first->Receive() || second->Receive()) {
   }
--- a/tests/net/gateway_connections_test.cpp
+++ b/tests/net/gateway_connections_test.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -88,37 +89,58 @@
   EXPECT_EQ(client->Read().body, "three");
 }
 
-// Responds and makes the connection stale, by closing it ("close"), by sending bytes after the response
-// ("bytes") or by a header that announces a close ("header"). With "bytes", reports to `closed` when the
-// gateway has closed the connection.
-std::string RespondAndBecomeStale(const std::string& how, TestConnection& connection, Event* closed) {
-  if (how == "header") return OkResponse("x", "Connection: close\r\n");
-  connection.Write(OkResponse("x") + (how == "bytes" ? "unasked" : ""));
-  if (how == "bytes" && connection.AwaitEnd()) closed->Add();
+// How a backend makes its connection stale.
+enum class StaleBy { kClose, kCloseHeader, kSecondCopy, kBytesInDoubt, kLateBytes };
+
+// Sends the response with this number and makes the connection stale. Late bytes are sent when the response
+// has been forwarded. Reports to `closed` when the gateway has closed a connection because of the bytes
+// behind the response.
+std::string RespondAndBecomeStale(StaleBy how, int number, TestConnection& connection, Event* forwarded,
+                                  Event* closed) {
+  if (how == StaleBy::kCloseHeader) return OkResponse("x", "Connection: close\r\n");
+  std::string following;
+  if (how == StaleBy::kSecondCopy) following = OkResponse("x");
+  if (how == StaleBy::kBytesInDoubt) following = "unasked";
+  connection.Write(OkResponse("x") + following);
+  if (how == StaleBy::kClose) return "";
+  if (how == StaleBy::kLateBytes) {
+    forwarded->Wait(number);
+    connection.Write("unasked");
+  }
+  if (connection.AwaitEnd()) closed->Add();
   return "";
 }
 
-void ExpectStaleConnectionNotReused(const std::string& how) {
-  Event closed;
+void ExpectStaleConnectionNotReused(StaleBy how) {
+  SCOPED_TRACE("variant " + std::to_string(static_cast<int>(how)));
+  Event forwarded, closed;
+  std::atomic<int> responses{0};
   StubBackend backend([&](const HttpMessage&, TestConnection& connection) {
-    return RespondAndBecomeStale(how, connection, &closed);
+    return RespondAndBecomeStale(how, ++responses, connection, &forwarded, &closed);
   });
   GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
   auto client = fixture.gateway->Connect();
-  EXPECT_EQ(Exchange(*client, MakeRequest("send-lead")).status(), 200) << how;
-  if (how == "bytes") {
+  // Bytes that arrive together with the response may be the rest of its body, so it is not forwarded.
+  int expected_status = how == StaleBy::kBytesInDoubt ? 502 : 200;
+  EXPECT_EQ(Exchange(*client, MakeRequest("send-lead")).status(), expected_status);
+  forwarded.Add();
+  if (how != StaleBy::kClose && how != StaleBy::kCloseHeader) {
     EXPECT_TRUE(closed.Wait());
   }
   // The backend's close may cross the next request. For any request after that one the gateway knows of
   // the close.
-  if (how == "close") Exchange(*client, MakeRequest("quote"));
-  EXPECT_EQ(Exchange(*client, MakeRequest("send-lead")).status(), 200) << how;
+  if (how == StaleBy::kClose) Exchange(*client, MakeRequest("quote"));
+  EXPECT_EQ(Exchange(*client, MakeRequest("send-lead")).status(), expected_status);
+  forwarded.Add();
 }
 
 // A backend closes an idle connection, announces that it will close it, or sends unsolicited bytes on it. The
 // next request on such a connection would be reset, or get a response that is not its own.
 TEST(GatewayConnections, ReusesNoStaleBackendConnection) {
-  for (const char* how : {"close", "bytes", "header"}) ExpectStaleConnectionNotReused(how);
+  for (StaleBy how : {StaleBy::kClose, StaleBy::kCloseHeader, StaleBy::kSecondCopy, StaleBy::kBytesInDoubt,
+                      StaleBy::kLateBytes}) {
+    ExpectStaleConnectionNotReused(how);
+  }
 }
 
 // Backends close connections that have been idle for some time. A request written at that very moment ends in
--- a/tests/net/gateway_log_test.cpp
+++ b/tests/net/gateway_log_test.cpp
@@ -82,7 +82,9 @@
 // has to see in the log that the responses were the cause, and in what way they were unusable.
 TEST(GatewayLog, ReportsWhyResponsesCouldNotBeUsed) {
   std::map<std::string, std::string> responses = {
-      {"malformed", "garbage\r\n\r\n"}, {"truncated", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"}};
+      {"malformed", "garbage\r\n\r\n"},
+      {"truncated", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"},
+      {"end_in_doubt", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlength too small"}};
   for (const auto& [fault, response] : responses) {
     StubBackend backend([&text = response](const HttpMessage&, TestConnection& connection) {
       connection.Write(text);
--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -121,12 +121,15 @@
 // missing. The request may have run, so a retry could run it twice: the client has to get 502 after one
 // attempt.
 TEST(Gateway, NeverRetriesANonIdempotentRequestThatMayHaveRun) {
-  std::vector<std::string> failures = {"",
-                                       "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
-                                       "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
-                                       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
-                                       "garbage\r\n\r\n",
-                                       "HTTP/1.1 200 OK\r\n\r\nno length"};
+  std::vector<std::string> failures = {
+      "",
+      "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+      "garbage\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n\r\nno length",
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlength too small",
+      "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 4\r\n\r\nlength"};
   for (const std::string& failure : failures) {
     StubBackend backend([failure](const HttpMessage&, TestConnection& connection) {
       connection.Write(failure);
@@ -139,6 +142,27 @@
   }
 }
 
+// Guards against forwarding a response that is cut off because its Content-Length is too small. The first
+// attempt gets such a response, and the client has to get the whole one of a second attempt, if its request
+// may run twice. (NeverRetriesANonIdempotentRequestThatMayHaveRun has the other case.)
+TEST(Gateway, RetriesAnIdempotentRequestWhoseResponseIsCutOffByItsLength) {
+  for (std::string request_class : {"quote", "save-scenario"}) {
+    std::atomic<int> responses{0};
+    auto respond = [&](const HttpMessage&, TestConnection& connection) {
+      if (responses++ > 0) return OkResponse("the whole body");
+      connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nthe whole body");
+      connection.AwaitEnd();
+      return std::string();
+    };
+    StubBackend one(respond), two(respond);
+    GatewayFixture fixture(json::array({EndpointEntry("s1", one.port()), EndpointEntry("s2", two.port())}));
+    HttpMessage response = Exchange(*fixture.gateway->Connect(), MakeRequest(request_class));
+    EXPECT_EQ(response.status(), 200) << request_class;
+    EXPECT_EQ(response.body, "the whole body") << request_class;
+    EXPECT_EQ(responses, 2) << request_class;
+  }
+}
+
 // A faulty backend responds with a huge Content-Length, an endless header field, binary data, contradictory
 // lengths or a hundred interim responses. Each has to fail the attempt as one that may have run, and none may
 // take more memory than a valid response.
--- a/tests/net/response_fault_log_test.cpp
+++ b/tests/net/response_fault_log_test.cpp
@@ -20,11 +20,12 @@
   log.Count(ResponseFault::kNone, 1, now);
   log.Count(ResponseFault::kMalformed, 2, now);
   log.Count(ResponseFault::kTruncated, 3, now);
-  log.Count(ResponseFault::kTruncated, 4294967295, now);
+  log.Count(ResponseFault::kEndInDoubt, 4, now);
+  log.Count(ResponseFault::kEndInDoubt, 4294967295, now);
   log.Flush();
   EXPECT_EQ(lines.str(),
             "responses_unusable malformed=1 last_backend=2\n"
-            "responses_unusable truncated=2 last_backend=4294967295\n");
+            "responses_unusable truncated=1 end_in_doubt=2 last_backend=4294967295\n");
 }
 
 }  // namespace
