Reject a request that is followed by bytes which cannot begin another one

What callers saw: a client whose Content-Length is too small got 200 for a request that was forwarded cut off. ClientSession took a request for complete as soon as its framing said so, and looked at the bytes behind it only after it had been forwarded. Evidence: seven requests with a length that is too small, an early last chunk or a body without a length, each written at once: all seven were forwarded and answered with 200. Change: when a request is complete, what lies behind it in the buffer or in the socket has to be able to begin the next one: empty lines, then a method as far as it has arrived. Otherwise the request gets 400, is not forwarded, and its connection is closed. Requests that are sent at once on a connection are served as before. Why this works: the rest of a body is looked at before the request is passed on. A rest that begins like a method, or comes later, cannot be told from another request. Measured: RequestParser.RejectsARequestThatIsCutOffByItsLength failed on the code before (7 of 7 forwarded) and passes now; AcceptsTheBeginningOfTheNextRequestBehindARequest passes before and now.

--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -2,7 +2,9 @@
 
 #include <poll.h>
 
+#include <array>
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 namespace gateway::net {
@@ -12,6 +14,7 @@
 // read until then, so that clients cannot exhaust the memory.
 constexpr size_t kMaxReadAheadBytes = 2 * kMaxHeaderBytes;
 constexpr size_t kMaxEmptyLineBytes = 64;  // before a request
+constexpr size_t kMaxPeekedBytes = 16;     // more than the longest method
 constexpr size_t kMaxLingeringBytes = size_t{1} << 20;
 constexpr auto kLingerTimeout = std::chrono::seconds(1);  // for a client to read its last response
 constexpr auto kWriteTimeout = std::chrono::seconds(10);  // for a client to read a response
@@ -164,11 +167,29 @@
     owner_->OnIncomplete(this);
   }
   if (error_code error = FeedParser(*parser_, buffer_)) return RejectMalformed(error);
-  if (parser_->is_done()) return OnRequestComplete();
+  if (parser_->is_done()) {
+    if (!MayNextRequestFollow()) return RejectMalformed(http::error::bad_content_length);
+    return OnRequestComplete();
+  }
   SendContinueIfExpected();
   ArmRequestTimeout();
 }
 
+// Returns whether the bytes that follow the complete request may belong to the next one. If not, they are
+// probably the rest of its body, and its length is too small: a request that is cut off must not be
+// forwarded. All bytes that have arrived by now are taken into account. They may still be in the socket,
+// since a read ends after kReadChunkBytes.
+bool ClientSession::MayNextRequestFollow() {
+  std::string_view following(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+  std::array<char, kMaxPeekedBytes> peeked;
+  if (following.empty()) {
+    error_code ignored;
+    size_t size = socket_.receive(asio::buffer(peeked), tcp::socket::message_peek, ignored);
+    following = std::string_view(peeked.data(), size);
+  }
+  return MayBeginRequest(following);
+}
+
 // Sends the interim response "100 Continue" (RFC 9110, 10.1.1). It is sent once and not retried if the socket
 // does not accept it, since a client must not wait for it indefinitely.
 void ClientSession::SendContinueIfExpected() {
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -114,6 +114,7 @@
   void PollForDisconnect();
   bool SkipEmptyLines();
   void Parse();
+  bool MayNextRequestFollow();
   void SendContinueIfExpected();
   void ArmRequestTimeout();
   void DisarmRequestTimeout();
--- a/src/net/http_framing.h
+++ b/src/net/http_framing.h
@@ -49,6 +49,10 @@
 // continues the preceding line (RFC 9112, 5.2).
 error_code CheckHead(std::string_view bytes, bool* complete);
 
+// Returns whether the bytes that follow a complete request may be the beginning of the next one: empty lines
+// (RFC 9112, 2.2), and then a method (RFC 9110, 9.3, and PATCH) as far as it has arrived.
+bool MayBeginRequest(std::string_view bytes);
+
 // Passes the buffered bytes to the parser and removes what it consumes from the buffer. Without an error the
 // message is complete (parser.is_done()) or more bytes are needed. After an error the framing of the rest of
 // the connection is unknown.
--- a/tests/net/request_parser_test.cpp
+++ b/tests/net/request_parser_test.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "net/socket_util.h"
 #include "support/gateway_fixture.h"
 
 namespace gateway::net {
@@ -158,5 +159,48 @@
   EXPECT_EQ(backend.requests.count(), 0);
 }
 
+// Guards against forwarding a request that is cut off because its length is too small: the backend would run
+// something that the client did not ask for. The rest of the body has arrived when the request is complete by
+// its framing, in the same read or behind its end. The client has to get an error and no backend the request.
+TEST(RequestParser, RejectsARequestThatIsCutOffByItsLength) {
+  StubBackend backend(RespondsWith(OkResponse("x")));
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  const std::string head = UnterminatedHead();
+  // Fills one read of the gateway, so that what follows is still in the socket.
+  std::string one_read = head + "Content-Length: 3000\r\nX-Padding: ";
+  one_read.append(kReadChunkBytes - 3000 - one_read.size() - std::string("\r\n\r\n").size(), 'p');
+  one_read.append("\r\n\r\n").append(3000, 'b');
+  ASSERT_EQ(one_read.size(), kReadChunkBytes);
+  const std::vector<std::string> cut_off = {
+      head + "Content-Length: 3\r\n\r\nthe whole body",
+      head + "Content-Length: 3\r\n\r\nthe\r\nwhole body",
+      head + "Content-Length: 0\r\n\r\nthe whole body",
+      head + "Content-Length: 13\r\n\r\nthe whole body",
+      head + kTransferEncoding + "chunked\r\n\r\n3\r\nthe\r\n0\r\n\r\nb\r\n whole body\r\n0\r\n\r\n",
+      MakeRequest("quote") + "{\"a\":1}",
+      one_read + "rest"};
+  for (const std::string& request : cut_off) {
+    auto client = fixture.gateway->Connect();
+    EXPECT_EQ(Exchange(*client, request).status(), 400) << request.substr(0, 400);
+    EXPECT_TRUE(client->AwaitEnd()) << request.substr(0, 400);
+  }
+  EXPECT_EQ(backend.requests.count(), 0);
+}
+
+// Clients send empty lines behind a request, or the beginning of the next one, cut at any place. These are
+// valid and have to be served.
+TEST(RequestParser, AcceptsTheBeginningOfTheNextRequestBehindARequest) {
+  StubBackend backend(RespondsWith(OkResponse("x")));
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  const std::string next = "\r\n" + MakeRequest("send-lead", 1, 3000, "", "body");
+  for (size_t arrived : {1, 2, 3, 5, 7, 8, 60}) {
+    auto client = fixture.gateway->Connect();
+    client->Write(MakeRequest("quote") + next.substr(0, arrived));
+    EXPECT_EQ(client->Read().status(), 200) << arrived;
+    client->Write(next.substr(arrived));
+    EXPECT_EQ(client->Read().status(), 200) << arrived;
+  }
+}
+
 }  // namespace
 }  // namespace gateway::net
