--- a/tests/net/discovery_client_test.cpp
+++ b/tests/net/discovery_client_test.cpp
@@ -170,6 +170,12 @@
          fixture.connection->Write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
        }},
       {"invalid HTTP", [](DiscoveryFixture& fixture) { fixture.connection->Write("*** \r\n\r\n"); }},
+      {"list that is cut off by its length",
+       [](DiscoveryFixture& fixture) {
+         fixture.connection->Write(
+             "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n"
+             "{\"index\":3,\"snapshot\":true,\"endpoints\":[]}");
+       }},
       {"body without a list",
        [](DiscoveryFixture& fixture) { fixture.connection->Write(OkResponse("{}")); }}};
   for (const auto& [failure, fail] : failures) {
