Spare the look into a socket that a short read has just emptied

Cause: the checks of message ends cost two system calls a request. Change: a read that got fewer bytes than it asked for has emptied the socket. The socket is looked at only where the last read was a full one, or lies back: a response that took several reads, a request that was buffered behind another one. What is known at the moment of judging stays the same.

--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -28,6 +28,7 @@
   state_ = connected ? State::kExchanging : State::kConnecting;
   attempt_ = std::move(attempt);
   written_bytes_ = message_bytes_ = 0;
+  reads_ = last_read_bytes_ = 0;
   started_at_ = Clock::now();
   attempt_deadline_ = started_at_ + Seconds(std::max(0.0, attempt_.timeout_s));
   response_.emplace(kMaxBodyBytes);
@@ -138,6 +139,8 @@
                             read_pending_ = false;
                             if (state_ == State::kClosed) return;
                             buffer_.commit(n);
+                            ++reads_;
+                            last_read_bytes_ = n;
                             // The backend has closed the idle connection or sent bytes that belong to no
                             // request.
                             if (!HasAttempt()) return CloseIdle();
@@ -168,11 +171,12 @@
 
 // Guards against a response whose length is too small: it would be passed on cut off, with a length that fits
 // the cut, so that the client could not tell. All bytes that have arrived by now are taken into account. They
-// may still be in the socket, since a read ends after kReadChunkBytes and the process may have stalled after
-// it.
+// may still be in the socket, since a read ends after kReadChunkBytes, and a read that found bytes at once is
+// handled later. The usual response comes in one short read, which has just emptied the socket, and is spared
+// the system call.
 void BackendConnection::CheckResponseEnd() {
-  error_code error;
-  if (buffer_.size() == 0) {
+  error_code error = asio::error::would_block;
+  if (buffer_.size() == 0 && !HasReadEmptiedSocket()) {
     buffer_.commit(socket_.receive(buffer_.prepare(kReadChunkBytes), 0, error));
   }
   switch (response_end_->Check(response_->message(), buffer_)) {
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -129,6 +129,7 @@
   void OnReadError(error_code error);
   void ParseResponse();
   void CheckResponseEnd();
+  bool HasReadEmptiedSocket() const { return reads_ == 1 && last_read_bytes_ < kReadChunkBytes; }
   void ArmTimer(Clock::time_point when);
   void OnTimer();
   bool HasPendingEvent();
@@ -150,6 +151,7 @@
   std::optional<ResponseEndCheck> response_end_;
   State state_ = State::kNew;
   bool read_pending_ = false;
+  size_t reads_ = 0, last_read_bytes_ = 0;  // of the current or last exchange
 
   BackendAttempt attempt_;  // the current or last attempt; its functions are empty once it has ended
   std::string message_;     // the serialized request, until it is written
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -126,6 +126,7 @@
 
 void ClientSession::OnBytesReceived(size_t received) {
   buffer_.commit(received);
+  read_emptied_socket_ = received < kReadChunkBytes;
   if (state_ == State::kLingering) {
     lingering_bytes_ += received;
     buffer_.clear();
@@ -178,11 +179,11 @@
 // Returns whether the bytes that follow the complete request may belong to the next one. If not, they are
 // probably the rest of its body, and its length is too small: a request that is cut off must not be
 // forwarded. All bytes that have arrived by now are taken into account. They may still be in the socket,
-// since a read ends after kReadChunkBytes.
+// unless a short read has just emptied it.
 bool ClientSession::MayNextRequestFollow() {
   std::string_view following(static_cast<const char*>(buffer_.data().data()), buffer_.size());
   std::array<char, kMaxPeekedBytes> peeked;
-  if (following.empty()) {
+  if (following.empty() && !read_emptied_socket_) {
     error_code ignored;
     size_t size = socket_.receive(asio::buffer(peeked), tcp::socket::message_peek, ignored);
     following = std::string_view(peeked.data(), size);
@@ -260,6 +261,7 @@
 
 void ClientSession::ReadNextRequest() {
   if (buffer_.size() == 0) return Read();
+  read_emptied_socket_ = false;
   // The buffered bytes are the next request. Posted, because the caller may still be executing its actions.
   asio::post(io_, [self = shared_from_this(), this] {
     if (IsReading()) Parse();
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -138,6 +138,7 @@
   State state_ = State::kIdle;
 
   boost::beast::flat_buffer buffer_;  // bytes that have been read but not parsed
+  bool read_emptied_socket_ = false;  // in the current handler
   std::optional<http::request_parser<http::string_body>> parser_;
   bool read_pending_ = false;
   bool received_eof_ = false;
