--- a/review/support-2/rig.h
+++ b/review/support-2/rig.h
@@ -496,7 +496,8 @@
                      "\r\nX-Tier: pro\r\nCookie: client=" + cookie +
                      "\r\nRequest-Timeout-Ms: " + std::to_string(timeout_ms) +
                      "\r\nX-Call-Terms: units=1,spread=" + std::to_string(spread) + ",first=0\r\n" + fields;
-  if (!body.empty() || method == "POST") text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  if (!body.empty() || (method == "POST" && fields.find("Transfer-Encoding") == std::string::npos))
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   return text + "\r\n" + body;
 }
 
