--- a/review/support-2/rig.h
+++ b/review/support-2/rig.h
@@ -304,6 +304,13 @@
   Counter() : server_([this](Wire& wire) { Serve(wire); }) {}
   int port() const { return server_.port(); }
 
+  // Adds the amount of the next call and answers it with this text; the connection is then of no further use.
+  void SpoilNext(const std::string& answer) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    spoilt_answer_ = answer;
+  }
+  int spoilt() const { return spoilt_; }
+
  private:
   void Serve(Wire& wire) {
     std::string line;
@@ -321,16 +328,27 @@
         continue;
       }
       char total[32];
+      std::string spoilt_answer;
       {
         std::lock_guard<std::mutex> lock(mutex_);
+        std::swap(spoilt_answer, spoilt_answer_);
         totals_[words[1]] += std::atof(words[2].c_str());
         std::snprintf(total, sizeof(total), "%.7g", totals_[words[1]]);
       }
+      if (!spoilt_answer.empty()) {
+        ++spoilt_;
+        wire.Write(spoilt_answer);
+        while (wire.ReadLine(&line, Now() + 600)) {
+        }
+        return;
+      }
       wire.Write("$" + std::to_string(std::strlen(total)) + "\r\n" + total + "\r\n");
     }
   }
   std::mutex mutex_;
   std::map<std::string, double> totals_;
+  std::string spoilt_answer_;
+  std::atomic<int> spoilt_{0};
   Server server_;
 };
 
