--- a/review/10/length_one_short.cpp
+++ b/review/10/length_one_short.cpp
@@ -43,7 +43,7 @@
   rig::Gateway gateway(temporary.File("config.json"),
                        rig::Config(settings, port, discovery.port(), counter.port(), discovery.List()),
                        temporary.File("log.txt"), port);
-  if (!gateway.AwaitReady()) return 2;
+  if (!gateway.AwaitReady()) rig::Finish(&gateway, &temporary, 2);
 
   const std::vector<Case> cases = {
       {"ends-in-brace", "{\"amount\": 1200}"}, {"ends-in-P", "amount=1200&unit=GBP"},
@@ -66,9 +66,9 @@
                 bad.body.size(), bad.body.size() - (trouble ? 1 : 0), whole ? "answered" : "closed",
                 answer.status, given);
     if (trouble && whole && answer.status == 200) ++served;
-    if (!trouble && answer.status != 200) return 2;
+    if (!trouble && answer.status != 200) rig::Finish(&gateway, &temporary, 2);
   }
   record.Line("result    %d of %zu requests with a wrong length were served as though they had run", served,
               cases.size());
-  return served > 0 ? 1 : 0;
+  rig::Finish(&gateway, &temporary, served > 0 ? 1 : 0);
 }
--- a/review/6/flooded_slots.cpp
+++ b/review/6/flooded_slots.cpp
@@ -50,7 +50,7 @@
   rig::Gateway gateway(temporary.File("config.json"),
                        rig::Config(settings, port, discovery.port(), counter.port(), discovery.List()),
                        temporary.File("log.txt"), port);
-  if (!gateway.AwaitReady()) return 2;
+  if (!gateway.AwaitReady()) rig::Finish(&gateway, &temporary, 2);
 
   // A body of 60 MB on the wire, in chunks of one byte with an extension (RFC 9112, 7.1.1).
   std::string chunk = "1;x=" + std::string(4000, 'x') + "\r\ny\r\n";
@@ -141,6 +141,6 @@
     record.Line("client    %d requests ended with %d", count, status);
   record.Line("result    %d of %d requests of usual clients had no final answer %.1f s after their time",
               lost, sent_count, kGraceS);
-  if (run < 20) return 2;
-  return lost > 0 ? 1 : 0;
+  if (run < 20) rig::Finish(&gateway, &temporary, 2);
+  rig::Finish(&gateway, &temporary, lost > 0 ? 1 : 0);
 }
--- a/review/9/never_ending_answer.cpp
+++ b/review/9/never_ending_answer.cpp
@@ -70,7 +70,7 @@
   rig::Gateway gateway(temporary.File("config.json"),
                        rig::Config(settings, port, discovery.port(), counter.port(), discovery.List()),
                        temporary.File("log.txt"), port);
-  if (!gateway.AwaitReady()) return 2;
+  if (!gateway.AwaitReady()) rig::Finish(&gateway, &temporary, 2);
 
   std::vector<Result> results(kClients);
   std::vector<std::thread> clients;
@@ -99,6 +99,6 @@
   }
   record.Line("result    %d of %d requests had no final answer %.1f s after their time", lost, kClients,
               kGraceS);
-  if (reached == 0) return 2;  // none was forwarded
-  return lost > 0 ? 1 : 0;
+  if (reached == 0) rig::Finish(&gateway, &temporary, 2);  // none was forwarded
+  rig::Finish(&gateway, &temporary, lost > 0 ? 1 : 0);
 }
--- a/review/support-2/rig.h
+++ b/review/support-2/rig.h
@@ -361,7 +361,8 @@
     if (mkdtemp(pattern.data()) == nullptr) std::exit(2);
     path_ = pattern;
   }
-  ~TemporaryFolder() {
+  ~TemporaryFolder() { Remove(); }
+  void Remove() {
     for (const std::string& name : names_) unlink((path_ + "/" + name).c_str());
     rmdir(path_.c_str());
   }
@@ -406,10 +407,12 @@
       _exit(2);
     }
   }
-  ~Gateway() {
+  ~Gateway() { Kill(); }
+  void Kill() {
     if (pid_ <= 0) return;
     kill(pid_, SIGKILL);
     waitpid(pid_, nullptr, 0);
+    pid_ = -1;
   }
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
@@ -450,6 +453,14 @@
   pid_t pid_ = -1;
 };
 
+// Ends the gateway, removes the folder and ends this process with `code`, without waiting for the stand-ins'
+// threads.
+[[noreturn]] inline void Finish(Gateway* gateway, TemporaryFolder* folder, int code) {
+  gateway->Kill();
+  folder->Remove();
+  _exit(code);
+}
+
 struct ClassSettings {
   std::string name;
   std::string effect;  // free, guarded or single_shot
