Hold a request back until the bytes behind it tell whether it is cut off by its length

Cause: ClientSession judged the bytes behind a complete request at once and took any part of a method's name for the next request (MayBeginRequest, with a look of 16 bytes into the socket). Change: what follows has to be an empty line or begin with a whole request line (CheckRequestEnd). While it may still become one the request is held back, for half of its time and 1 s at most, and gets 400 if nothing more comes. The time held counts as the client's. Bytes that arrived before a stall are read before the wait ends (UnreadBytesGrace). A request with nothing behind it is not held, and no system call was added for it.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -14,14 +14,16 @@
 }  // namespace
 
 ClientServer::ClientServer(asio::io_context& io, size_t max_connections, OnRequestFn on_request,
-                           OnClosedFn on_closed, Clock::duration request_timeout)
+                           OnClosedFn on_closed, MaxEndCheckTimeFn max_end_check_time,
+                           Clock::duration request_timeout)
     : io_(io),
       acceptor_(io),
       accept_backoff_(io),
       max_connections_(max_connections),
       request_timeout_(request_timeout),
       on_request_(std::move(on_request)),
-      on_closed_(std::move(on_closed)) {}
+      on_closed_(std::move(on_closed)),
+      max_end_check_time_(std::move(max_end_check_time)) {}
 
 ClientServer::~ClientServer() {
   for (auto& [id, session] : sessions_) session->Detach();
@@ -99,7 +101,9 @@
 
 void ClientServer::OnComplete(ClientSession* session) { RemoveFromEvictionLists(session); }
 
-void ClientServer::OnRequest(ClientSession* session) { on_request_(session->id(), session->TakeRequest()); }
+void ClientServer::OnRequest(ClientSession* session, Clock::duration held_back) {
+  on_request_(session->id(), session->TakeRequest(), held_back);
+}
 
 void ClientServer::OnClosed(ClientSession* session, bool request_pending) {
   RemoveFromEvictionLists(session);
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -25,8 +25,12 @@
 // is accepted until one of them becomes idle again. Runs on the thread of its io_context.
 class ClientServer final : private ClientSession::Owner {
  public:
-  // Receives a complete request, which must be answered once by Reply, within the call or later.
-  using OnRequestFn = std::function<void(uint64_t connection, ClientRequest)>;
+  // Receives a request that was complete `held_back` ago. It must be answered once by Reply, within the call
+  // or later.
+  using OnRequestFn =
+      std::function<void(uint64_t connection, ClientRequest request, Clock::duration held_back)>;
+  // See ClientSession::Owner::MaxEndCheckTime.
+  using MaxEndCheckTimeFn = std::function<Clock::duration(const ClientRequest&)>;
   // Called when a connection has been closed. `request_pending` tells whether it held an unanswered request,
   // whose client has therefore disconnected.
   using OnClosedFn = std::function<void(uint64_t connection, bool request_pending)>;
@@ -34,6 +38,7 @@
   // `request_timeout` limits how long a request may take to arrive completely: the first request of a
   // connection counts from the accept, and each later request from its first byte.
   ClientServer(asio::io_context& io, size_t max_connections, OnRequestFn on_request, OnClosedFn on_closed,
+               MaxEndCheckTimeFn max_end_check_time,
                Clock::duration request_timeout = std::chrono::milliseconds(2500));
   // Closes all connections without calling a callback.
   ~ClientServer();
@@ -75,7 +80,10 @@
   void OnIdle(ClientSession* session) override;
   void OnIncomplete(ClientSession* session) override;
   void OnComplete(ClientSession* session) override;
-  void OnRequest(ClientSession* session) override;
+  Clock::duration MaxEndCheckTime(const ClientRequest& request) const override {
+    return max_end_check_time_(request);
+  }
+  void OnRequest(ClientSession* session, Clock::duration held_back) override;
   void OnClosed(ClientSession* session, bool request_pending) override;
   bool ClosesAfterResponses() const override { return closes_after_responses_; }
 
@@ -94,6 +102,7 @@
   const Clock::duration request_timeout_;
   OnRequestFn on_request_;
   OnClosedFn on_closed_;
+  MaxEndCheckTimeFn max_end_check_time_;
   uint64_t last_id_ = 0;
   bool closes_after_responses_ = false;
   bool accepting_paused_ = false;  // the limit on connections is reached
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -2,19 +2,18 @@
 
 #include <poll.h>
 
-#include <array>
 #include <chrono>
 #include <string_view>
 #include <utility>
 
+#include "net/request_end_check.h"
+
 namespace gateway::net {
 namespace {
 
 // The limit on bytes that are buffered before the current response has been written. Beyond it nothing is
 // read until then, so that clients cannot exhaust the memory.
 constexpr size_t kMaxReadAheadBytes = 2 * kMaxHeaderBytes;
-constexpr size_t kMaxEmptyLineBytes = 64;  // before a request
-constexpr size_t kMaxPeekedBytes = 16;     // more than the longest method
 constexpr size_t kMaxLingeringBytes = size_t{1} << 20;
 constexpr auto kLingerTimeout = std::chrono::seconds(1);  // for a client to read its last response
 constexpr auto kWriteTimeout = std::chrono::seconds(10);  // for a client to read a response
@@ -126,6 +125,7 @@
 
 void ClientSession::OnBytesReceived(size_t received) {
   buffer_.commit(received);
+  read_bytes_ += received;
   read_emptied_socket_ = received < kReadChunkBytes;
   if (state_ == State::kLingering) {
     lingering_bytes_ += received;
@@ -134,6 +134,8 @@
   } else if (IsReading()) {
     Parse();
     if (request_timed_out_ && IsReading() && !HasUnreadBytes(socket_)) Close();
+  } else if (state_ == State::kCheckingEnd) {
+    CheckEnd();
   }
 }
 
@@ -168,29 +170,11 @@
     owner_->OnIncomplete(this);
   }
   if (error_code error = FeedParser(*parser_, buffer_)) return RejectMalformed(error);
-  if (parser_->is_done()) {
-    if (!MayNextRequestFollow()) return RejectMalformed(http::error::bad_content_length);
-    return OnRequestComplete();
-  }
+  if (parser_->is_done()) return OnRequestComplete();
   SendContinueIfExpected();
   ArmRequestTimeout();
 }
 
-// Returns whether the bytes that follow the complete request may belong to the next one. If not, they are
-// probably the rest of its body, and its length is too small: a request that is cut off must not be
-// forwarded. All bytes that have arrived by now are taken into account. They may still be in the socket,
-// unless a short read has just emptied it.
-bool ClientSession::MayNextRequestFollow() {
-  std::string_view following(static_cast<const char*>(buffer_.data().data()), buffer_.size());
-  std::array<char, kMaxPeekedBytes> peeked;
-  if (following.empty() && !read_emptied_socket_) {
-    error_code ignored;
-    size_t size = socket_.receive(asio::buffer(peeked), tcp::socket::message_peek, ignored);
-    following = std::string_view(peeked.data(), size);
-  }
-  return MayBeginRequest(following);
-}
-
 // Sends the interim response "100 Continue" (RFC 9110, 10.1.1). It is sent once and not retried if the socket
 // does not accept it, since a client must not wait for it indefinitely.
 void ClientSession::SendContinueIfExpected() {
@@ -224,8 +208,57 @@
   DisarmRequestTimeout();
   owner_->OnComplete(this);
   keep_alive_ = parser_->keep_alive();
+  state_ = State::kCheckingEnd;
+  held_back_since_.reset();
+  CheckEnd();
+}
+
+// Guards against forwarding a request that is cut off by a length that is too small. All bytes that have
+// arrived by now are taken into account, also those still in the socket.
+void ClientSession::CheckEnd() {
+  std::string_view following(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+  if (following.empty() && HasUnreadBytesBehindRequest()) return HoldBack();
+  switch (CheckRequestEnd(following)) {
+    case RequestEnd::kTrusted: return PassOn();
+    case RequestEnd::kUndecided: return HoldBack();
+    case RequestEnd::kDoubtful: return RejectMalformed(http::error::bad_content_length);
+  }
+}
+
+// A short read has just emptied the socket, which spares the system call.
+bool ClientSession::HasUnreadBytesBehindRequest() { return !read_emptied_socket_ && HasUnreadBytes(socket_); }
+
+// Waits for more bytes, which tell another request from the rest of a body. If none arrive in time, the
+// request is rejected: running a request that is cut off would do more harm.
+void ClientSession::HoldBack() {
+  if (held_back_since_) return;
+  Clock::duration limit = owner_->MaxEndCheckTime(parser_->get());
+  if (limit == Clock::duration::zero()) return PassOn();
+  held_back_since_ = Clock::now();
+  end_check_grace_.Reset();
+  timer_.expires_at(*held_back_since_ + limit);
+  ArmEndCheckTimeout();
+}
+
+void ClientSession::ArmEndCheckTimeout() {
+  timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
+    if (cancelled || state_ != State::kCheckingEnd || Clock::now() < timer_.expiry()) return;
+    if (end_check_grace_.MustWait(read_bytes_, UnreadBytes(socket_))) {
+      timer_.expires_at(Clock::now());
+      return ArmEndCheckTimeout();
+    }
+    RejectMalformed(http::error::bad_content_length);
+  });
+}
+
+void ClientSession::PassOn() {
+  Clock::duration held_back{};
+  if (held_back_since_) {
+    held_back = Clock::now() - *held_back_since_;
+    timer_.cancel();
+  }
   state_ = State::kAwaitingResponse;
-  owner_->OnRequest(this);
+  owner_->OnRequest(this, held_back);
 }
 
 // Answers a malformed request and closes the connection, since the framing of the following bytes is unknown.
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -13,6 +13,7 @@
 #include "net/clock.h"
 #include "net/http_framing.h"
 #include "net/socket_util.h"
+#include "net/unread_bytes_grace.h"
 
 namespace gateway::net {
 
@@ -31,9 +32,11 @@
 //
 // States and transitions:
 // - kIdle to kReceiving: the first byte of a request has arrived.
-// - kReceiving to kAwaitingResponse: the request is complete.
+// - kReceiving to kCheckingEnd: the request is complete by its framing.
+// - kCheckingEnd to kAwaitingResponse: its end can be trusted. This mostly takes no time.
 // - kAwaitingResponse to kWriting: Reply was called.
-// - kIdle or kReceiving to kWriting: the request is malformed, and the session itself answers it.
+// - kIdle, kReceiving or kCheckingEnd to kWriting: the request is malformed, or may be cut off by a length
+//   that is too small, and the session itself answers it.
 // - kWriting to kIdle: the response has been written and the connection is kept alive.
 // - kWriting to kLingering: the last response has been written. Further bytes of the client are discarded.
 // - any state to kClosed: Close was called, the connection has failed, the client has closed it, the time-out
@@ -50,10 +53,15 @@
     virtual void OnIdle(ClientSession* session) = 0;
     // The first byte of a request has arrived, or the session is lingering. It may be evicted as incomplete.
     virtual void OnIncomplete(ClientSession* session) = 0;
-    // The session has a complete request and must not be evicted. A call to OnRequest follows.
+    // The session has a request that is complete by its framing, and must not be evicted. A call to OnRequest
+    // follows, unless the end of the request is in doubt.
     virtual void OnComplete(ClientSession* session) = 0;
-    // The owner must take the request by TakeRequest, and answer it by Reply within this call or later.
-    virtual void OnRequest(ClientSession* session) = 0;
+    // Returns for how long the request may be held back while the bytes behind it do not tell whether its end
+    // can be trusted. Zero if it is to be passed on at once, because it cannot have an effect.
+    virtual Clock::duration MaxEndCheckTime(const ClientRequest& request) const = 0;
+    // The owner must take the request by TakeRequest, and answer it by Reply within this call or later. The
+    // request was complete `held_back` ago.
+    virtual void OnRequest(ClientSession* session, Clock::duration held_back) = 0;
     // The session is closed, and the owner must drop its reference. `request_pending` tells whether the
     // session held an unanswered request, whose client has therefore disconnected.
     virtual void OnClosed(ClientSession* session, bool request_pending) = 0;
@@ -100,7 +108,7 @@
   void Detach();
 
  private:
-  enum class State { kIdle, kReceiving, kAwaitingResponse, kWriting, kLingering, kClosed };
+  enum class State { kIdle, kReceiving, kCheckingEnd, kAwaitingResponse, kWriting, kLingering, kClosed };
 
   // Whether bytes have arrived, in the buffer or in the socket, that belong to no request answered so far.
   // They may contain a request that must be answered.
@@ -114,11 +122,15 @@
   void PollForDisconnect();
   bool SkipEmptyLines();
   void Parse();
-  bool MayNextRequestFollow();
   void SendContinueIfExpected();
   void ArmRequestTimeout();
   void DisarmRequestTimeout();
   void OnRequestComplete();
+  void CheckEnd();
+  void HoldBack();
+  void ArmEndCheckTimeout();
+  bool HasUnreadBytesBehindRequest();
+  void PassOn();
   void RejectMalformed(error_code error);
   void Write(const Response& response, bool keep_alive);
   void OnWritten(error_code error, bool keep_alive);
@@ -131,13 +143,14 @@
   const uint64_t id_;
   const Clock::duration request_timeout_;
   tcp::socket socket_;
-  // Used for one purpose at a time: the request time-out, polling for the client's disconnection, the write
-  // time-out or the time limit of lingering.
+  // Used for one purpose at a time: the request time-out, the time limit of the check of a request's end,
+  // polling for the client's disconnection, the write time-out or the time limit of lingering.
   asio::steady_timer timer_;
   EvictionPosition eviction_position_;
   State state_ = State::kIdle;
 
   boost::beast::flat_buffer buffer_;  // bytes that have been read but not parsed
+  uint64_t read_bytes_ = 0;           // since the start
   bool read_emptied_socket_ = false;  // in the current handler
   std::optional<http::request_parser<http::string_body>> parser_;
   bool read_pending_ = false;
@@ -147,7 +160,9 @@
   bool continue_sent_ = false;
   bool request_timeout_armed_ = false;
   bool request_timed_out_ = false;
-  bool keep_alive_ = true;  // as requested by the last request
+  bool keep_alive_ = true;                            // as requested by the last request
+  std::optional<Clock::time_point> held_back_since_;  // in kCheckingEnd
+  UnreadBytesGrace end_check_grace_;
 
   std::string message_;  // the serialized response that is being written
   size_t written_bytes_ = 0;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -73,10 +73,11 @@
       membership_(pool_),
       server_(
           io, MaxClientConnections(config),
-          [this](uint64_t connection, ClientRequest message) {
-            OnClientMessage(connection, std::move(message));
+          [this](uint64_t connection, ClientRequest message, Clock::duration held_back) {
+            OnClientMessage(connection, std::move(message), held_back);
           },
-          [this](uint64_t connection, bool unanswered) { OnConnectionClosed(connection, unanswered); }),
+          [this](uint64_t connection, bool unanswered) { OnConnectionClosed(connection, unanswered); },
+          [&config](const ClientRequest& message) { return MaxEndCheckTime(message, config); }),
       discovery_(
           io, config.discovery_address, config.deployment, &endpoint_ids_,
           [this](const EndpointList& list) {
@@ -222,7 +223,7 @@
 
 void Gateway::Execute(const policy::PollDiscovery& /*action*/) { discovery_.Start(); }
 
-void Gateway::OnClientMessage(uint64_t connection, ClientRequest message) {
+void Gateway::OnClientMessage(uint64_t connection, ClientRequest message, Clock::duration held_back) {
   std::string_view target = ToStringView(message.target());
   if (target.substr(0, std::string_view(kAdminPathPrefix).size()) == kAdminPathPrefix) {
     return AnswerAdminRequest(connection, target);
@@ -237,6 +238,7 @@
   RequestParseResult result = ParseClientRequest(message, config_);
   if (const auto* status = std::get_if<http::status>(&result)) return ReplyStatus(connection, *status);
   auto& parsed = std::get<ParsedRequest>(result);
+  parsed.timeout_s = std::max(0.0, parsed.timeout_s - ToSeconds(held_back));
   if (requests_.IsClientRequestIdInUse(parsed.client_request_id)) {
     return ReplyStatus(connection, http::status::bad_request);
   }
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -67,7 +67,7 @@
   void Execute(const policy::PollDiscovery& action);
 
   // Clients.
-  void OnClientMessage(uint64_t connection, ClientRequest message);
+  void OnClientMessage(uint64_t connection, ClientRequest message, Clock::duration held_back);
   void OnConnectionClosed(uint64_t connection, bool had_unanswered_request);
   void AnswerAdminRequest(uint64_t connection, std::string_view target);
   void ReplyStatus(uint64_t connection, http::status status);
--- a/src/net/http_framing.h
+++ b/src/net/http_framing.h
@@ -19,6 +19,7 @@
 inline constexpr size_t kMaxBodyBytes = size_t{64} * 1024;
 // The limit for the start line and the fields of a message, and for the framing of one chunk.
 inline constexpr size_t kMaxHeaderBytes = size_t{16} * 1024;
+inline constexpr size_t kMaxEmptyLineBytes = 64;  // before a request
 
 // Replaces the parser with a new one for the next message, which is limited to kMaxHeaderBytes and
 // `max_body_bytes`.
@@ -49,10 +50,6 @@
 // continues the preceding line (RFC 9112, 5.2).
 error_code CheckHead(std::string_view bytes, bool* complete);
 
-// Returns whether the bytes that follow a complete request may be the beginning of the next one: empty lines
-// (RFC 9112, 2.2), and then a method (RFC 9110, 9.3, and PATCH) as far as it has arrived.
-bool MayBeginRequest(std::string_view bytes);
-
 // Passes the buffered bytes to the parser and removes what it consumes from the buffer. Without an error the
 // message is complete (parser.is_done()) or more bytes are needed. After an error the framing of the rest of
 // the connection is unknown.
--- a/src/net/request_parser.cpp
+++ b/src/net/request_parser.cpp
@@ -20,6 +20,8 @@
 constexpr unsigned long kMaxTimeoutMs = 60000;
 constexpr size_t kMaxRequestIdBytes = 64;
 constexpr size_t kMaxTenantDigits = 16;
+constexpr double kMaxEndCheckFraction = 0.5;  // of the time for which the client waits
+constexpr double kMaxEndCheckS = 1;  // a malformed request must be answered within 3 s of its connection
 constexpr uint64_t kTenantNumberLimit = 1ULL << 33;  // tenant numbers are below it
 
 // Parses the text as a number. Returns nothing unless the whole text is a number.
@@ -154,4 +156,11 @@
   return parsed;
 }
 
+Clock::duration MaxEndCheckTime(const ClientRequest& message, const config::GatewayConfig& config) {
+  RequestParseResult result = ParseClientRequest(message, config);
+  const auto* parsed = std::get_if<ParsedRequest>(&result);
+  if (parsed == nullptr) return {};
+  return Seconds(std::min(kMaxEndCheckFraction * parsed->timeout_s, kMaxEndCheckS));
+}
+
 }  // namespace gateway::net
--- a/src/net/request_parser.h
+++ b/src/net/request_parser.h
@@ -7,6 +7,7 @@
 
 #include "config/gateway_config.h"
 #include "net/client_server.h"
+#include "net/clock.h"
 #include "policy/events.h"
 
 namespace gateway::net {
@@ -26,6 +27,11 @@
 // names a tenant must not affect that tenant's quota. `message` must be complete and unambiguously framed.
 RequestParseResult ParseClientRequest(const ClientRequest& message, const config::GatewayConfig& config);
 
+// Returns for how long a complete request may be held back until the bytes behind it tell whether its length
+// is right. Until half of its time is over, a wait only delays its response. Zero for a request that is not
+// forwarded anyway.
+Clock::duration MaxEndCheckTime(const ClientRequest& message, const config::GatewayConfig& config);
+
 }  // namespace gateway::net
 
 #endif  // GATEWAY_NET_REQUEST_PARSER_H_
--- a/src/net/socket_util.cpp
+++ b/src/net/socket_util.cpp
@@ -35,6 +35,11 @@
   return socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error) > 0;
 }
 
+size_t UnreadBytes(tcp::socket& socket) {
+  error_code ignored;
+  return socket.available(ignored);
+}
+
 bool HasConnectEnded(tcp::socket& socket) {
   pollfd descriptor{socket.native_handle(), POLLOUT, 0};
   return poll(&descriptor, 1, 0) > 0;
--- a/src/net/socket_util.h
+++ b/src/net/socket_util.h
@@ -34,6 +34,9 @@
 // Returns whether bytes have been received but not yet read. Does not block and consumes no bytes.
 bool HasUnreadBytes(tcp::socket& socket);
 
+// Returns how many bytes have been received but not yet read. Does not block.
+size_t UnreadBytes(tcp::socket& socket);
+
 // Returns whether a pending connect has succeeded or failed. Does not block.
 bool HasConnectEnded(tcp::socket& socket);
 
--- /dev/null
+++ b/src/net/unread_bytes_grace.h
@@ -0,0 +1,43 @@
+// Bounds the time for which unread bytes put off a time-out.
+#ifndef GATEWAY_NET_UNREAD_BYTES_GRACE_H_
+#define GATEWAY_NET_UNREAD_BYTES_GRACE_H_
+
+#include <cstddef>
+#include <cstdint>
+
+namespace gateway::net {
+
+// After the process has stalled, a time-out and the bytes that arrived before it are due at the same moment.
+// The bytes must be read first, as they may complete the message. A peer that sends as fast as it is read has
+// unread bytes at all times and must still time out.
+//
+// Rule: a time-out that is due waits until the bytes that are unread at that moment have been read, and not
+// for bytes that arrive later. A message may be larger than the receive window, so that a part of it arrives
+// only while the part before it is read: the time-out therefore waits again, for kMaxWaits times in all.
+class UnreadBytesGrace {
+ public:
+  // Returns whether the time-out, which is due, has to wait. `read_bytes` counts what has been read from the
+  // connection since it was opened.
+  bool MustWait(uint64_t read_bytes, size_t unread_bytes) {
+    if (unread_bytes == 0) return false;
+    bool has_read_awaited_bytes = read_bytes >= wait_until_read_bytes_;
+    if (!has_read_awaited_bytes) return true;
+    if (waits_ == kMaxWaits) return false;
+    ++waits_;
+    wait_until_read_bytes_ = read_bytes + unread_bytes;
+    return true;
+  }
+
+  // Must be called when the time-out has been handled or is no longer due.
+  void Reset() { *this = {}; }
+
+ private:
+  static constexpr int kMaxWaits = 16;  // an endpoint list of 1 MB has sixteen receive windows of 64 KiB
+
+  int waits_ = 0;
+  uint64_t wait_until_read_bytes_ = 0;
+};
+
+}  // namespace gateway::net
+
+#endif  // GATEWAY_NET_UNREAD_BYTES_GRACE_H_
--- a/tests/net/client_server_test.cpp
+++ b/tests/net/client_server_test.cpp
@@ -22,10 +22,11 @@
                                Clock::duration request_timeout = std::chrono::seconds(kWaitTimeoutS))
       : server(
             io, max_connections,
-            [this](uint64_t connection, ClientRequest request) {
+            [this](uint64_t connection, ClientRequest request, Clock::duration) {
               requests.emplace_back(connection, std::move(request));
             },
-            [this](uint64_t, bool request_pending) { clients_left += request_pending; }, request_timeout) {
+            [this](uint64_t, bool request_pending) { clients_left += request_pending; },
+            [this](const ClientRequest&) { return max_end_check_time; }, request_timeout) {
     server.Listen(LoopbackEndpoint(0));
   }
   std::unique_ptr<TestConnection> Connect() {
@@ -38,6 +39,7 @@
     server.Reply(requests.at(request).first, std::move(response));
   }
   std::vector<std::pair<uint64_t, ClientRequest>> requests;  // each with the id of its connection
+  Clock::duration max_end_check_time = std::chrono::seconds(kWaitTimeoutS);
   int clients_left = 0;  // number of clients that have left before their response
   ClientServer server;
 };
--- a/tests/net/gateway_stall_test.cpp
+++ b/tests/net/gateway_stall_test.cpp
@@ -26,11 +26,7 @@
 
 // Returns a request of the tenant with this number. Tests use each tenant once, so that none is over quota.
 std::string RequestOfTenant(int tenant, int timeout_ms = 30000) {
-  std::string request = MakeRequest("quote", 1, timeout_ms);
-  std::string cookie = "client=00000000b4d65521";
-  std::string tenant_cookie = "client=00000000";
-  tenant_cookie += std::to_string(10000000 + tenant);
-  return request.replace(request.find(cookie), cookie.size(), tenant_cookie);
+  return ForTenant(tenant, MakeRequest("quote", 1, timeout_ms));
 }
 
 // A gateway with requests in flight, whose backends respond when the test releases them.
--- a/tests/net/request_parser_test.cpp
+++ b/tests/net/request_parser_test.cpp
@@ -1,6 +1,9 @@
 // Tests how a gateway process handles invalid requests of clients: it answers each one itself with an error
 // status and forwards none to a backend.
+#include <chrono>
+#include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -12,6 +15,13 @@
 
 using namespace test_support;
 
+// Returns a configuration in which every request class has this deadline.
+json ConfigWithDeadlinesOf(double deadline_s) {
+  json config = ConfigJson(0, 0);
+  for (json& cls : config["settings"]["request-classes"]) cls["hard-limit-s"] = deadline_s;
+  return config;
+}
+
 // Returns the request without the line of a field.
 std::string WithoutField(std::string request, const std::string& field) {
   size_t begin = request.find(field + ":");
@@ -187,20 +197,73 @@
   EXPECT_EQ(backend.requests.count(), 0);
 }
 
-// Clients send empty lines behind a request, or the beginning of the next one, cut at any place. These are
-// valid and have to be served.
-TEST(RequestParser, AcceptsTheBeginningOfTheNextRequestBehindARequest) {
+// A client states a length that is too small by any number of bytes, and the rest of its body begins like a
+// request (review case 10). Nothing else follows, so that the request has to get an error and no backend may
+// get it. If a part of a request line were taken for the next request, it would be run cut off and answered
+// with 200.
+TEST(RequestParser, RejectsARequestWhoseCutOffRestBeginsLikeARequest) {
   StubBackend backend(RespondsWith(OkResponse("x")));
   GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
-  const std::string next = "\r\n" + MakeRequest("send-lead", 1, 3000, "", "body");
-  for (size_t arrived : {1, 2, 3, 5, 7, 8, 60}) {
+  std::vector<std::string> rests = {"C", "D", "G", "H", "O", "P", "T", "GET", "\n"};
+  const std::string line = "POST /send-lead HTTP/1.1\r\n";
+  for (size_t size = 1; size < line.size(); ++size) rests.push_back(line.substr(0, size));
+  std::vector<std::unique_ptr<TestConnection>> clients;
+  for (size_t i = 0; i < rests.size(); ++i) {
+    std::string head = ForTenant(static_cast<int>(i), UnterminatedHead());
+    clients.push_back(fixture.gateway->Connect());
+    clients.back()->Write(head + "Content-Length: 4\r\n\r\nbody" + rests[i]);
+  }
+  for (size_t i = 0; i < rests.size(); ++i) {
+    EXPECT_EQ(clients[i]->Read().status(), 400) << rests[i];
+    EXPECT_TRUE(clients[i]->AwaitEnd()) << rests[i];
+  }
+  EXPECT_EQ(backend.requests.count(), 0);
+}
+
+// A client sends two requests at once, and a segment ends at any place in the second one, also before or
+// within an empty line ahead of it. Both are valid and have to be served. The first one is answered before
+// the rest is sent where the bytes so far are not taken for the rest of a body: empty lines, or a whole
+// request line.
+TEST(RequestParser, ServesRequestsThatAreSentAtOnceWhereverASegmentEnds) {
+  constexpr auto kPause = std::chrono::milliseconds(2);
+  constexpr size_t kEmptyLineBytes = 2;
+  StubBackend backend(RespondsWith(OkResponse("x")));
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  const std::string shape = "\r\n" + MakeRequest("send-lead", 1, 30000, "", "body");
+  const size_t line_bytes = shape.find("\r\n", kEmptyLineBytes) + 2;
+  for (size_t arrived = 0; arrived <= shape.size(); ++arrived) {
+    int tenant = static_cast<int>(arrived);
+    std::string next = "\r\n" + ForTenant(tenant, MakeRequest("send-lead", 1, 30000, "", "body"));
     auto client = fixture.gateway->Connect();
-    client->Write(MakeRequest("quote") + next.substr(0, arrived));
-    EXPECT_EQ(client->Read().status(), 200) << arrived;
+    client->Write(ForTenant(tenant, MakeRequest("quote", 1, 30000)) + next.substr(0, arrived));
+    bool needs_rest = arrived > kEmptyLineBytes && arrived < line_bytes;
+    HttpMessage first;
+    if (!needs_rest) first = client->Read();
+    std::this_thread::sleep_for(kPause);
     client->Write(next.substr(arrived));
+    if (needs_rest) first = client->Read();
+    EXPECT_EQ(first.status(), 200) << arrived;
     EXPECT_EQ(client->Read().status(), 200) << arrived;
   }
 }
 
+// The time for which a request waits for the bytes behind it is a part of the client's time. If it were not
+// counted, a backend would be told of more time than the client has.
+TEST(RequestParser, CountsTheWaitForTheBytesBehindARequest) {
+  constexpr auto kPause = std::chrono::milliseconds(400);
+  constexpr int kTimeoutMs = 30000;
+  StubBackend backend([](const HttpMessage& request, TestConnection&) {
+    return OkResponse(request.Header("Request-Timeout-Ms"));
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}), ConfigWithDeadlinesOf(60));
+  auto client = fixture.gateway->Connect();
+  const std::string next = MakeRequest("quote", 1, kTimeoutMs);
+  client->Write(MakeRequest("quote", 1, kTimeoutMs) + next.substr(0, 3));
+  std::this_thread::sleep_for(kPause);
+  client->Write(next.substr(3));
+  EXPECT_LE(std::stoi(client->Read().body), kTimeoutMs - kPause.count());
+  EXPECT_GT(std::stoi(client->Read().body), kTimeoutMs - kPause.count());
+}
+
 }  // namespace
 }  // namespace gateway::net
--- a/tests/support/client_request.h
+++ b/tests/support/client_request.h
@@ -27,6 +27,14 @@
   return text + more_fields + "\r\n" + body;
 }
 
+// Returns the request of MakeRequest() as a request of the tenant with this number, at most 7 digits. A test
+// that sends many requests uses tenants so that none is over quota.
+inline std::string ForTenant(int tenant, std::string request) {
+  const std::string cookie = "client=00000000b4d65521";
+  const std::string tenant_cookie = "client=00000000" + std::to_string(10000000 + tenant);
+  return request.replace(request.find(cookie), cookie.size(), tenant_cookie);
+}
+
 // The gateway answers this with status 200 if it is ready.
 inline constexpr char kReadinessRequest[] = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
 
