Bound the framing of a chunked body by the body that it frames

Cause: a body was limited to 64 KiB and the framing of one chunk to 16 KiB, but not all framing, so that a message could have 1 GB. Change: MessageParser, for requests, responses and lists alike, takes 16 KiB of framing and 16 bytes for each byte of the body. More is refused with 413, or makes a response malformed. It takes the place of FeedParser and ResetParser.

--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -92,7 +92,7 @@
   state_ = State::kIdle;
   continue_sent_ = request_timed_out_ = false;
   empty_line_bytes_ = 0;
-  ResetParser(&parser_, kMaxBodyBytes);
+  parser_.Reset(kMaxBodyBytes);
   owner_->OnIdle(this);
 }
 
@@ -169,7 +169,7 @@
     state_ = State::kReceiving;
     owner_->OnIncomplete(this);
   }
-  if (error_code error = FeedParser(*parser_, buffer_)) return RejectMalformed(error);
+  if (error_code error = parser_.Feed(buffer_)) return RejectMalformed(error);
   if (parser_->is_done()) return OnRequestComplete();
   SendContinueIfExpected();
   ArmRequestTimeout();
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -11,7 +11,7 @@
 
 #include "net/client_response.h"
 #include "net/clock.h"
-#include "net/http_framing.h"
+#include "net/message_parser.h"
 #include "net/socket_util.h"
 #include "net/unread_bytes_grace.h"
 
@@ -152,7 +152,7 @@
   boost::beast::flat_buffer buffer_;  // bytes that have been read but not parsed
   uint64_t read_bytes_ = 0;           // since the start
   bool read_emptied_socket_ = false;  // in the current handler
-  std::optional<http::request_parser<http::string_body>> parser_;
+  MessageParser<http::request_parser<http::string_body>> parser_{kMaxBodyBytes};
   bool read_pending_ = false;
   bool received_eof_ = false;
   size_t empty_line_bytes_ = 0;  // skipped before the request
--- a/src/net/response_reader.cpp
+++ b/src/net/response_reader.cpp
@@ -11,16 +11,15 @@
 
 }  // namespace
 
-ResponseReader::ResponseReader(size_t max_body_bytes) : max_body_bytes_(max_body_bytes) {
-  ResetParser(&parser_, max_body_bytes_);
-}
+ResponseReader::ResponseReader(size_t max_body_bytes)
+    : max_body_bytes_(max_body_bytes), parser_(max_body_bytes) {}
 
 error_code ResponseReader::Feed(boost::beast::flat_buffer& buffer) {
   for (;;) {
-    if (error_code error = FeedParser(*parser_, buffer)) return error;
+    if (error_code error = parser_.Feed(buffer)) return error;
     if (!parser_->is_done() || !IsInterim(parser_->get())) return {};
     if (++interim_responses_ > kMaxInterimResponses) return http::error::bad_status;
-    ResetParser(&parser_, max_body_bytes_);
+    parser_.Reset(max_body_bytes_);
   }
 }
 
--- a/src/net/response_reader.h
+++ b/src/net/response_reader.h
@@ -5,9 +5,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstddef>
-#include <optional>
 
-#include "net/http_framing.h"
+#include "net/message_parser.h"
 #include "net/socket_util.h"
 
 namespace gateway::net {
@@ -40,7 +39,7 @@
 
  private:
   const size_t max_body_bytes_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  MessageParser<http::response_parser<http::string_body>> parser_;
   int interim_responses_ = 0;
 };
 
--- a/tests/net/backend_connection_test.cpp
+++ b/tests/net/backend_connection_test.cpp
@@ -1,9 +1,11 @@
 #include "net/backend_connection.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 
+#include "support/flooding_peer.h"
 #include "support/http_message.h"
 #include "support/manual_listener.h"
 #include "support/pool_fixture.h"
@@ -54,6 +56,19 @@
   EXPECT_EQ(result.body, "") << name;
 }
 
+// A backend sends a response that is nearly all framing and never ends (review case 9). If only the body were
+// limited, it would keep its client waiting for 1 GB.
+TEST(BackendConnection, FailsAResponseThatIsNearlyAllFraming) {
+  constexpr uint64_t kMaxSentBytes = 60'000'000;
+  ExchangeFixture exchange;
+  exchange.backend->Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  FloodingPeer flood(*exchange.backend, ChunksWithExtensions(15000));
+  const AttemptResult& result = exchange.AwaitResult();
+  EXPECT_EQ(result.result, CallResult::kReset);
+  EXPECT_EQ(result.fault, ResponseFault::kMalformed);
+  EXPECT_LT(flood.sent_bytes(), kMaxSentBytes);
+}
+
 // Guards against forwarding a response that is cut off because its length is too small (or its last chunk
 // comes too early). The rest of the body has arrived when the response is complete by its framing. The
 // attempt has failed and may have run, whatever the framing and the status are.
--- a/tests/net/request_parser_test.cpp
+++ b/tests/net/request_parser_test.cpp
@@ -1,6 +1,7 @@
 // Tests how a gateway process handles invalid requests of clients: it answers each one itself with an error
 // status and forwards none to a backend.
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <thread>
@@ -8,6 +9,7 @@
 #include <vector>
 
 #include "net/socket_util.h"
+#include "support/flooding_peer.h"
 #include "support/gateway_fixture.h"
 
 namespace gateway::net {
@@ -169,6 +171,21 @@
   EXPECT_EQ(backend.requests.count(), 0);
 }
 
+// A client sends a chunked body of 60 MB that is nearly all framing, at full speed (review case 6). If only
+// the body itself were limited, it would hold its connection until the end of these bytes, and many such
+// clients all connections.
+TEST(RequestParser, RejectsABodyThatIsNearlyAllFraming) {
+  constexpr uint64_t kMaxSentBytes = 60'000'000;
+  StubBackend backend(RespondsWith(OkResponse("x")));
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  auto client = fixture.gateway->Connect();
+  client->Write(UnterminatedHead() + kTransferEncoding + "chunked\r\n\r\n");
+  FloodingPeer flood(*client, ChunksWithExtensions(4000));
+  EXPECT_EQ(client->Read().status(), 413);
+  EXPECT_LT(flood.sent_bytes(), kMaxSentBytes);
+  EXPECT_EQ(backend.requests.count(), 0);
+}
+
 // Guards against forwarding a request that is cut off because its length is too small: the backend would run
 // something that the client did not ask for. The rest of the body has arrived when the request is complete by
 // its framing, in the same read or behind its end. The client has to get an error and no backend the request.
