Bound how long a response's unread bytes put off the time-outs of its request

Cause: the attempt's timeout, the request's deadline and the policy's timers were set anew for as long as a byte was unread. Change: each waits for the bytes that are unread when it is due, and not for later ones (UnreadBytesGrace, one for each attempt and timer). Where a read may have taken bytes for a handler that has not run, it waits for one more turn of the event loop, so that a response that arrived before a stall counts in any case. Evidence: BackendConnection.TimesOutAnAttemptWhoseBackendFillsItsSocketForEver failed in each of eight forms on the sources of the commit before and passes now. The two timers of Gateway have no test of their own.

--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -29,6 +29,7 @@
   attempt_ = std::move(attempt);
   written_bytes_ = message_bytes_ = 0;
   reads_ = last_read_bytes_ = 0;
+  timeout_grace_.Reset();
   started_at_ = Clock::now();
   attempt_deadline_ = started_at_ + Seconds(std::max(0.0, attempt_.timeout_s));
   response_.emplace(kMaxBodyBytes);
@@ -70,16 +71,25 @@
 
 void BackendConnection::OnTimer() {
   if (!HasAttempt()) return CloseIdle();
-  if (HasPendingEvent()) return ArmTimer(Clock::now());
+  if (MustHandleEventFirst()) return ArmTimer(Clock::now());
   // A request that was not completely written has not run.
   Fail(IsRequestWritten() ? CallResult::kTimeout : CallResult::kConnectFailed);
 }
 
 // Returns whether the kernel holds an event of the attempt that must be handled before its timeout. This
 // guards against discarding a response that arrived in time: after the process has stalled, the response and
-// the timeout are due at the same moment.
-bool BackendConnection::HasPendingEvent() {
-  return state_ == State::kConnecting ? HasConnectEnded(socket_) : HasUnreadResponse();
+// the timeout are due at the same moment. A backend that sends without end does not put off the timeout.
+bool BackendConnection::MustHandleEventFirst() {
+  return state_ == State::kConnecting ? HasConnectEnded(socket_) : MustReadFirst(&timeout_grace_);
+}
+
+// The first read of an exchange waits for bytes. Each later one begins in a handler and may find bytes at
+// once.
+bool BackendConnection::MustReadFirst(UnreadBytesGrace* grace) {
+  if (state_ != State::kExchanging) return false;
+  using Reading = UnreadBytesGrace::Reading;
+  Reading reading = reads_ == 0 ? Reading::kInHandlers : Reading::kAhead;
+  return grace->MustWait(read_bytes_, UnreadBytes(socket_), reading);
 }
 
 void BackendConnection::Connect() {
@@ -141,6 +151,7 @@
                             buffer_.commit(n);
                             ++reads_;
                             last_read_bytes_ = n;
+                            read_bytes_ += n;
                             // The backend has closed the idle connection or sent bytes that belong to no
                             // request.
                             if (!HasAttempt()) return CloseIdle();
@@ -177,7 +188,9 @@
 void BackendConnection::CheckResponseEnd() {
   error_code error = asio::error::would_block;
   if (buffer_.size() == 0 && !HasReadEmptiedSocket()) {
-    buffer_.commit(socket_.receive(buffer_.prepare(kReadChunkBytes), 0, error));
+    size_t received = socket_.receive(buffer_.prepare(kReadChunkBytes), 0, error);
+    buffer_.commit(received);
+    read_bytes_ += received;
   }
   switch (response_end_->Check(response_->message(), buffer_)) {
     case ResponseEndCheck::Verdict::kNothingFollows:
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -14,6 +14,7 @@
 #include "net/response_end_check.h"
 #include "net/response_reader.h"
 #include "net/socket_util.h"
+#include "net/unread_bytes_grace.h"
 
 namespace gateway::net {
 
@@ -105,9 +106,9 @@
   // request may have run.
   bool IsRequestWritten() const;
 
-  // Returns whether bytes of a response to the attempt have been received but not yet read, as happens after
-  // the process has stalled.
-  bool HasUnreadResponse() { return state_ == State::kExchanging && HasUnreadBytes(socket_); }
+  // Returns whether a time-out of the attempt, which is due, has to wait until bytes of a response have been
+  // read. They may have arrived before it, while the process was stalled.
+  bool MustReadFirst(UnreadBytesGrace* grace);
 
   // Returns whether the connection is idle and the backend has neither closed it nor written to it.
   bool IsReusable();
@@ -132,7 +133,7 @@
   bool HasReadEmptiedSocket() const { return reads_ == 1 && last_read_bytes_ < kReadChunkBytes; }
   void ArmTimer(Clock::time_point when);
   void OnTimer();
-  bool HasPendingEvent();
+  bool MustHandleEventFirst();
   void CloseIdle();
   void OnResponse(bool reusable);
   void FailResponse(ResponseFault fault);
@@ -152,6 +153,8 @@
   State state_ = State::kNew;
   bool read_pending_ = false;
   size_t reads_ = 0, last_read_bytes_ = 0;  // of the current or last exchange
+  uint64_t read_bytes_ = 0;                 // of all exchanges
+  UnreadBytesGrace timeout_grace_;          // for the attempt's timeout
 
   BackendAttempt attempt_;  // the current or last attempt; its functions are empty once it has ended
   std::string message_;     // the serialized request, until it is written
--- a/src/net/backend_connection_pool.cpp
+++ b/src/net/backend_connection_pool.cpp
@@ -98,9 +98,9 @@
   return Cancel(attempt) != CancelResult::kAlreadyEnded;
 }
 
-bool BackendConnectionPool::HasUnreadResponse(uint64_t attempt) const {
+bool BackendConnectionPool::MustReadFirst(uint64_t attempt, UnreadBytesGrace* grace) const {
   auto it = in_flight_.find(attempt);
-  return it != in_flight_.end() && it->second->HasUnreadResponse();
+  return it != in_flight_.end() && it->second->MustReadFirst(grace);
 }
 
 void BackendConnectionPool::CloseIdle() {
--- a/src/net/backend_connection_pool.h
+++ b/src/net/backend_connection_pool.h
@@ -81,8 +81,9 @@
   // Cancels the attempt if its request is not completely written. Returns whether the attempt was cancelled.
   bool CancelIfUnsent(uint64_t attempt);
 
-  // Returns whether bytes of a response to the attempt have been received but not yet read.
-  bool HasUnreadResponse(uint64_t attempt) const;
+  // Returns whether a time-out of the attempt, which is due, has to wait until bytes of a response have been
+  // read.
+  bool MustReadFirst(uint64_t attempt, UnreadBytesGrace* grace) const;
 
   void CloseIdle();
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -337,16 +337,15 @@
   }
 }
 
-// Whether a response to the request has arrived that has not been read yet. It is handled before a timer of
-// the request: after a stall of the process both are due at once, and a response that arrived in time must be
-// used.
-bool Gateway::HasUnreadResponse(uint32_t request_id) {
-  const InFlightRequest* request = requests_.Find(request_id);
+// Whether a timer of the request, which is due, has to wait for a response that has arrived and has not been
+// read yet. After a stall of the process both are due at once, and a response that arrived in time must be
+// used. A response that never ends puts the timer off for a limited time.
+bool Gateway::MustReadResponseFirst(uint32_t request_id, UnreadBytesGrace InFlightAttempt::*grace) {
+  InFlightRequest* request = requests_.Find(request_id);
   if (request == nullptr || request->answered) return false;
-  return std::any_of(request->attempts.begin(), request->attempts.end(),
-                     [this](const InFlightAttempt& attempt) {
-                       return attempt.in_flight && pool_.HasUnreadResponse(attempt.pool_attempt_id);
-                     });
+  return std::any_of(request->attempts.begin(), request->attempts.end(), [&](InFlightAttempt& attempt) {
+    return attempt.in_flight && pool_.MustReadFirst(attempt.pool_attempt_id, &(attempt.*grace));
+  });
 }
 
 void Gateway::OnAttemptEnded(uint32_t request_id, int attempt, AttemptResult end) {
@@ -421,7 +420,9 @@
 void Gateway::OnRequestDeadline(uint32_t request_id) {
   InFlightRequest* request = requests_.Find(request_id);
   if (request == nullptr || request->answered) return;
-  if (HasUnreadResponse(request_id)) return timers_.AddRequestDeadline(Clock::now(), request_id);
+  if (MustReadResponseFirst(request_id, &InFlightAttempt::deadline_grace)) {
+    return timers_.AddRequestDeadline(Clock::now(), request_id);
+  }
   CountEndedRequest(RejectionLog::Cause::kDeadline, request_id);
   bool retry_is_safe = request->idempotent || (!request->may_have_run && !request->HasAttemptInFlight());
   Answer(request_id,
@@ -438,8 +439,12 @@
 
 void Gateway::OnPolicyTimer(uint64_t tag) {
   bool is_request_timer = tag <= std::numeric_limits<uint32_t>::max();  // the tag is then a request id
-  if (is_request_timer && HasUnreadResponse(static_cast<uint32_t>(tag))) {
-    return timers_.AddPolicyTimer(Clock::now(), tag);
+  if (is_request_timer) {
+    auto request_id = static_cast<uint32_t>(tag);
+    if (MustReadResponseFirst(request_id, &InFlightAttempt::policy_timer_grace)) {
+      return timers_.AddPolicyTimer(Clock::now(), tag);
+    }
+    requests_.ResetPolicyTimerGrace(request_id);
   }
   NotifyPolicy(
       [&](AdmissionPolicy& policy, double now_s, Actions* actions) { policy.OnTimer(now_s, tag, actions); });
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -80,7 +80,7 @@
   bool MayForward(const InFlightRequest& request, uint32_t request_id, double timeout_s);
   void PostAttemptEnd(uint32_t request_id, int attempt, policy::CallResult result);
   void DropUnsentAttempts(uint32_t request_id);
-  bool HasUnreadResponse(uint32_t request_id);
+  bool MustReadResponseFirst(uint32_t request_id, UnreadBytesGrace InFlightAttempt::*grace);
   void OnAttemptEnded(uint32_t request_id, int attempt, AttemptResult end);
   void ReportOutcome(uint32_t request_id, int attempt, const AttemptResult& end);
 
--- a/src/net/in_flight_requests.cpp
+++ b/src/net/in_flight_requests.cpp
@@ -42,6 +42,12 @@
   unanswered_by_connection_.erase(request.connection_id);
 }
 
+void InFlightRequests::ResetPolicyTimerGrace(uint32_t id) {
+  InFlightRequest* request = Find(id);
+  if (request == nullptr) return;
+  for (InFlightAttempt& attempt : request->attempts) attempt.policy_timer_grace.Reset();
+}
+
 void InFlightRequests::EraseIfComplete(uint32_t id) {
   auto it = requests_.find(id);
   if (it == requests_.end() || id == outcome_request_id_) return;
--- a/src/net/in_flight_requests.h
+++ b/src/net/in_flight_requests.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "net/clock.h"
+#include "net/unread_bytes_grace.h"
 
 namespace gateway::net {
 
@@ -22,6 +23,8 @@
   uint32_t backend_id = 0;
   uint64_t pool_attempt_id = 0;  // 0 if the attempt was never passed to the connection pool
   bool in_flight = false;
+  // For the request's deadline and for a policy timer of the request.
+  UnreadBytesGrace deadline_grace{}, policy_timer_grace{};
 };
 
 // A client's request. It is kept from its arrival until it has been answered and none of its attempts is in
@@ -65,6 +68,10 @@
 
   void MarkAnswered(uint32_t id);
 
+  // Must be called when a policy timer of the request has been handled. Does nothing if there is no such
+  // request.
+  void ResetPolicyTimerGrace(uint32_t id);
+
   // Removes the request if it has been answered and none of its attempts is in flight, except between
   // BeginOutcomeHandling() and EndOutcomeHandling() for this request.
   void EraseIfComplete(uint32_t id);
--- a/tests/net/backend_connection_test.cpp
+++ b/tests/net/backend_connection_test.cpp
@@ -1,9 +1,12 @@
 #include "net/backend_connection.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "support/flooding_peer.h"
 #include "support/http_message.h"
@@ -19,9 +22,9 @@
 
 // A backend that has received one complete request of the pool and has not responded yet.
 struct ExchangeFixture : PoolFixture {
-  ExchangeFixture() {
+  explicit ExchangeFixture(double timeout_s = 50) {
     pool.Update(1, LoopbackEndpoint(listener.port()));
-    Send(1, "request");
+    Send(1, "request", timeout_s);
     RunUntil([this] { return listener.HasPending(); });
     backend = listener.Accept();
     AwaitReadable(*backend);
@@ -69,6 +72,59 @@
   EXPECT_LT(flood.sent_bytes(), kMaxSentBytes);
 }
 
+// The timeout of an attempt is due, and whenever the connection looks there are unread bytes, which may
+// complete the response (review case 9). If they put off the timeout for as long as there are any, a backend
+// that fills its socket for ever keeps a client waiting, in each form of a response that may go on for long.
+TEST(BackendConnection, TimesOutAnAttemptWhoseBackendFillsItsSocketForEver) {
+  struct EndlessResponse {
+    const char* form;
+    std::string begin, rest;
+  };
+  constexpr int kMaxHandlers = 500;
+  constexpr double kTimeoutS = 2;
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<EndlessResponse> responses = {
+      {"field", head + "X-More: ", "x"},
+      {"field of an interim response", "HTTP/1.1 103 Early Hints\r\nX-More: ", "x"},
+      {"body", head + "Content-Length: 60000\r\n\r\n", "b"},
+      {"body until the end of the connection", head + "\r\n", "b"},
+      {"extension", chunked + "1;", "x"},
+      {"chunks", chunked, "1\r\nb\r\n"},
+      {"trailer", chunked + "0\r\nX-More: ", "x"},
+      {"second copy", OkResponse("body") + head + "X-More: ", "x"}};
+  std::vector<std::unique_ptr<ExchangeFixture>> exchanges;
+  for (const EndlessResponse& response : responses) {
+    exchanges.push_back(std::make_unique<ExchangeFixture>(kTimeoutS));
+    exchanges.back()->backend->Write(response.begin);
+  }
+  std::this_thread::sleep_for(Seconds(kTimeoutS));
+  for (size_t i = 0; i < responses.size(); ++i) {
+    ExchangeFixture& exchange = *exchanges[i];
+    for (int handlers = 0; handlers < kMaxHandlers && exchange.results.empty(); ++handlers) {
+      exchange.backend->Write(responses[i].rest);
+      exchange.io.restart();
+      exchange.io.run_one_for(std::chrono::milliseconds(1));
+    }
+    EXPECT_EQ(exchange.results.size(), 1u) << responses[i].form;
+    if (!exchange.results.empty()) {
+      EXPECT_EQ(exchange.results[0].result, CallResult::kTimeout) << responses[i].form;
+    }
+  }
+}
+
+// A large response has arrived when the process resumes after a stall in which the timeout expired. All of it
+// has to be read before the timeout is handled, also what the receive window held back.
+TEST(BackendConnection, UsesALargeResponseThatArrivedBeforeTheTimeout) {
+  constexpr double kTimeoutS = 2;
+  ExchangeFixture exchange(kTimeoutS);
+  exchange.backend->Write(OkResponse(std::string(kMaxBodyBytes, 'b')));
+  std::this_thread::sleep_for(Seconds(kTimeoutS));
+  const AttemptResult& result = exchange.AwaitResult();
+  EXPECT_EQ(result.result, CallResult::kOk);
+  EXPECT_EQ(result.body.size(), kMaxBodyBytes);
+}
+
 // Guards against forwarding a response that is cut off because its length is too small (or its last chunk
 // comes too early). The rest of the body has arrived when the response is complete by its framing. The
 // attempt has failed and may have run, whatever the framing and the status are.
--- a/tests/net/unread_bytes_grace_test.cpp
+++ b/tests/net/unread_bytes_grace_test.cpp
@@ -14,6 +14,7 @@
   EXPECT_TRUE(grace.MustWait(1000, 300));
   EXPECT_TRUE(grace.MustWait(1000, 300));
   EXPECT_TRUE(grace.MustWait(1200, 100));
+  EXPECT_TRUE(grace.MustWait(1200, 0)) << "the last bytes are read, and their handler has not run yet";
   EXPECT_FALSE(grace.MustWait(1300, 0));
 }
 
@@ -22,6 +23,16 @@
   EXPECT_FALSE(grace.MustWait(1000, 0));
 }
 
+// A read that began in a handler has taken the last bytes from the socket, and its own handler has not run
+// yet. A time-out that went by the socket alone would discard a message that has arrived.
+TEST(UnreadBytesGrace, WaitsForTheHandlerOfAReadThatHasTakenTheLastBytes) {
+  constexpr auto kAhead = UnreadBytesGrace::Reading::kAhead;
+  UnreadBytesGrace grace;
+  EXPECT_TRUE(grace.MustWait(1000, 0, kAhead));
+  EXPECT_TRUE(grace.MustWait(1064, 0, kAhead)) << "another read may have begun in that handler";
+  EXPECT_FALSE(grace.MustWait(1064, 0, kAhead)) << "no handler has run since";
+}
+
 // A peer that sends as fast as it is read has unread bytes at all times. If they put off a time-out for as
 // long as there are any, it never comes.
 TEST(UnreadBytesGrace, EndsWhileAPeerFillsTheSocketForEver) {
--- a/tests/support/pool_fixture.h
+++ b/tests/support/pool_fixture.h
@@ -18,9 +18,9 @@
 struct PoolFixture : EventLoop {
   explicit PoolFixture(double min_idle_before_reuse_s = 0, double idle_s = 30, double connect_timeout_s = 5)
       : pool(io, idle_s, connect_timeout_s, 0.5, 100, min_idle_before_reuse_s) {}
-  uint64_t Send(uint32_t backend, const std::string& request) {
+  uint64_t Send(uint32_t backend, const std::string& request, double timeout_s = 50) {
     return pool.Send(
-        backend, [request](double) { return request; }, 50,
+        backend, [request](double) { return request; }, timeout_s,
         [this](net::AttemptResult result) { results.push_back(std::move(result)); });
   }
   // Runs the event loop until the backend's side of a connection has received bytes.
