Bound how long unread bytes put off the timeout of a response of discovery

What operators could see: an agent that sends without a pause kept its exchange open past its timeout, and the gateway did not poll again. Cause: DiscoveryExchange set its timer anew for as long as a byte was unread. Change: the timer waits for the bytes that are unread when it is due, sixteen times at most, as a list has several receive windows (UnreadBytesGrace), and is tried again at once in place of after another silence limit.

--- a/src/net/discovery_exchange.cpp
+++ b/src/net/discovery_exchange.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr size_t kMaxListBytes = size_t{8} << 20;
+constexpr int kMaxTimeoutWaits = 16;  // a list of 1 MB has sixteen receive windows of 64 KiB
 
 }  // namespace
 
@@ -21,7 +22,8 @@
       socket_(std::move(connection)),
       timer_(socket_.get_executor()),
       response_(kMaxListBytes),
-      max_silence_(request_.max_wait + timeouts.silence) {}
+      max_silence_(request_.max_wait + timeouts.silence),
+      timeout_grace_(kMaxTimeoutWaits) {}
 
 void DiscoveryExchange::Start() {
   ArmTimer();
@@ -71,6 +73,7 @@
 
 void DiscoveryExchange::OnReceived(error_code error, size_t size) {
   buffer_.commit(size);
+  read_bytes_ += size;
   if (size > 0) max_silence_ = timeouts_.silence;
   ArmTimer();
   bool ended = error == asio::error::eof;
@@ -98,7 +101,11 @@
 // response that never ends.
 void DiscoveryExchange::ArmTimer() {
   Clock::time_point silent_at = Clock::now() + max_silence_;
-  timer_.expires_at(overdue_ ? response_deadline_ : std::min(silent_at, response_deadline_));
+  ArmTimerAt(overdue_ ? response_deadline_ : std::min(silent_at, response_deadline_));
+}
+
+void DiscoveryExchange::ArmTimerAt(Clock::time_point when) {
+  timer_.expires_at(when);
   timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
     if (!cancelled && state_ != State::kEnded) OnTimer();
   });
@@ -107,12 +114,18 @@
 void DiscoveryExchange::OnTimer() {
   // Bytes were handled after this wait had expired, and the timer was armed again.
   if (Clock::now() < timer_.expiry()) return;
-  // The agent is not silent if a busy event loop has not yet read the bytes received from it.
-  if (socket_.is_open() && HasUnreadBytes(socket_)) return ArmTimer();
+  if (MustReadFirst()) return ArmTimerAt(Clock::now());
   if (Clock::now() >= response_deadline_) return Fail();
   overdue_ = true;
   ArmTimer();
   owner_->OnOverdue(this);
 }
 
+// The agent is not silent if a busy event loop has not yet read the bytes received from it, and they may
+// complete its response. An agent that sends without end is given up nevertheless.
+bool DiscoveryExchange::MustReadFirst() {
+  if (state_ != State::kReceiving) return false;
+  return timeout_grace_.MustWait(read_bytes_, UnreadBytes(socket_), UnreadBytesGrace::Reading::kAhead);
+}
+
 }  // namespace gateway::net
--- a/src/net/discovery_exchange.h
+++ b/src/net/discovery_exchange.h
@@ -2,12 +2,14 @@
 #ifndef GATEWAY_NET_DISCOVERY_EXCHANGE_H_
 #define GATEWAY_NET_DISCOVERY_EXCHANGE_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
 #include "net/clock.h"
 #include "net/response_reader.h"
 #include "net/socket_util.h"
+#include "net/unread_bytes_grace.h"
 
 namespace gateway::net {
 
@@ -75,7 +77,9 @@
   void OnResponseComplete();
   void Fail();
   void ArmTimer();
+  void ArmTimerAt(Clock::time_point when);
   void OnTimer();
+  bool MustReadFirst();
 
   Owner* const owner_;
   const tcp::endpoint address_;
@@ -90,6 +94,8 @@
   ResponseReader response_;
   Clock::duration max_silence_;  // limit of the wait for the next byte
   bool overdue_ = false;
+  uint64_t read_bytes_ = 0;
+  UnreadBytesGrace timeout_grace_;
 };
 
 }  // namespace gateway::net
--- a/tests/net/discovery_client_test.cpp
+++ b/tests/net/discovery_client_test.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -152,6 +153,32 @@
   }
 }
 
+// The timeout of a response is due, and whenever the client looks there are unread bytes. If they put off the
+// timeout for as long as there are any, an agent that fills its socket for ever keeps the client from polling
+// again.
+TEST(DiscoveryClient, TimesOutAResponseWhoseAgentFillsItsSocketForEver) {
+  constexpr int kMaxHandlers = 500;
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::vector<std::pair<std::string, std::string>> responses = {
+      {head + "X-More: ", "x"},
+      {head + "Content-Length: 1000000\r\n\r\n{", " "},
+      {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\n \r\n"}};
+  for (const auto& [begin, rest] : responses) {
+    DiscoveryFixture fixture;
+    fixture.ReceivePoll();
+    fixture.connection->Write(begin);
+    std::this_thread::sleep_for(Seconds(DiscoveryClientOptions{}.response_timeout_s + 0.1));
+    for (int i = 0; i < kMaxHandlers && fixture.connection->IsOpen(); ++i) {
+      fixture.connection->Write(rest);
+      fixture.io.restart();
+      fixture.io.run_one_for(std::chrono::milliseconds(1));
+    }
+    EXPECT_FALSE(fixture.connection->IsOpen()) << begin;
+    EXPECT_EQ(fixture.failed_exchanges, 1) << begin;
+    fixture.AcceptConnection();
+  }
+}
+
 // An exchange is reset, is truncated, hangs after half a response, or returns an error status, invalid HTTP
 // or a body that is not a list. After each of these failures the next exchange must start, and after
 // several consecutive failures the client must poll the full list.
