Bound how long unread bytes put off the timeout of a call to the counter

What operators could see: a counter that sends without a pause kept calls from timing out, and requests that wait for them. Cause: CounterClient ended no call for as long as any of its connections had an unread byte. Change: a timeout waits for the bytes that are unread when it is due on each connection, and not for later ones (UnreadBytesGrace). The timer for a silent connection stays as it is: bytes that are read end its silence.

--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -131,23 +131,35 @@
   });
 }
 
-bool CounterClient::HasUnreadReplies() const {
-  auto has_unread = [](const auto& connection) { return connection->HasUnreadReplies(); };
-  return std::any_of(connections_.begin(), connections_.end(), has_unread) ||
-         std::any_of(draining_.begin(), draining_.end(), has_unread);
+// Asks each connection, so that all of them wait in the same turn of the event loop.
+bool CounterClient::MustReadRepliesFirst() const {
+  bool must_wait = false;
+  for (const auto* list : {&connections_, &draining_}) {
+    for (const auto& connection : *list) must_wait = connection->MustReadFirst() || must_wait;
+  }
+  return must_wait;
+}
+
+void CounterClient::ResetTimeoutGraces() const {
+  for (const auto* list : {&connections_, &draining_}) {
+    for (const auto& connection : *list) connection->ResetTimeoutGrace();
+  }
 }
 
 // Ends calls whose timeout has expired, unless there are unread replies, which must be read first: after the
 // process has stalled, replies and timeouts are due at the same moment, and a counter that answered in time
-// would be taken for a silent one.
+// would be taken for a silent one. A counter that sends without end does not put off a timeout.
 void CounterClient::EndExpiredCalls() {
   while (!calls_.empty()) {
-    bool expired = !calls_.front()->ended && Clock::now() >= calls_.front()->deadline;
-    if (expired ? HasUnreadReplies() : !calls_.front()->ended) return;
+    if (!calls_.front()->ended) {
+      if (Clock::now() < calls_.front()->deadline) break;
+      if (MustReadRepliesFirst()) return;
+    }
     auto call = std::move(calls_.front());
     calls_.pop_front();
     EndCall(call, call->ResultWithoutReply(), 0);
   }
+  ResetTimeoutGraces();
 }
 
 // Backs off if the counter cannot be reached; otherwise each call would try to open a new connection.
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -45,7 +45,8 @@
   void EndCall(const std::shared_ptr<CounterCall>& call, policy::CallResult result, double total);
   void ArmTimer();
   void EndExpiredCalls();
-  bool HasUnreadReplies() const;
+  bool MustReadRepliesFirst() const;
+  void ResetTimeoutGraces() const;
 
   // CounterConnection::Owner implementation.
   void OnConnected() override { backoff_ = {}; }
--- a/src/net/counter_connection.cpp
+++ b/src/net/counter_connection.cpp
@@ -113,6 +113,7 @@
 
 void CounterConnection::OnReceived(size_t size) {
   last_bytes_at_ = Clock::now();
+  read_bytes_ += size;
   if (!decoder_.Feed(read_buffer_, size) || !ProcessReplies()) return Close(false);
   if (closed()) return;
   if (decoder_.unused_bytes() > kMaxIncompleteReplyBytes) return Close(false);
@@ -138,11 +139,17 @@
   return true;
 }
 
+bool CounterConnection::MustReadFirst() {
+  if (state_ == State::kConnecting || closed()) return false;
+  return timeout_grace_.MustWait(read_bytes_, UnreadBytes(socket_), UnreadBytesGrace::Reading::kAhead);
+}
+
 // Arms the timer that closes the connection after `max_silence` without a byte. This guards against a counter
 // whose machine has failed or been disconnected: that closes no connection, TCP keep-alive does not detect
 // it, and further calls would be sent on a connection that never answers. The late reply of a slow counter
 // shows that it is still reachable. The timer runs while calls are in flight; received bytes only update
-// last_bytes_at_.
+// last_bytes_at_. Unread bytes put the timer off until they are read, which updates it too: this needs no
+// further bound, as a counter that sends is not silent.
 void CounterConnection::ArmSilenceTimer() {
   timer_.expires_at(last_bytes_at_ + options_.max_silence);
   timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
--- a/src/net/counter_connection.h
+++ b/src/net/counter_connection.h
@@ -11,6 +11,7 @@
 #include "net/clock.h"
 #include "net/resp2_codec.h"
 #include "net/socket_util.h"
+#include "net/unread_bytes_grace.h"
 #include "policy/events.h"
 
 namespace gateway::net {
@@ -82,8 +83,10 @@
   bool closed() const { return state_ == State::kClosed; }
   size_t calls_in_flight() const { return calls_.size(); }
 
-  // Returns whether bytes have been received but not yet read.
-  bool HasUnreadReplies() { return state_ != State::kConnecting && !closed() && HasUnreadBytes(socket_); }
+  // Returns whether the timeout of a call, which is due, has to wait until bytes have been read.
+  bool MustReadFirst();
+  // Must be called when no timeout of a call is due any more.
+  void ResetTimeoutGrace() { timeout_grace_.Reset(); }
 
   // Returns whether an open connection can accept a call. Detects that the counter has closed an idle
   // connection even if the event loop has not yet handled that event.
@@ -98,6 +101,7 @@
   void OnReceived(size_t size);
   bool ProcessReplies();
   void ArmSilenceTimer();
+  bool HasUnreadReplies() { return HasUnreadBytes(socket_); }
 
   static constexpr size_t kReadBufferBytes = 1024;
 
@@ -115,6 +119,8 @@
   bool writing_ = false;
   char read_buffer_[kReadBufferBytes];
   TallyReplyDecoder decoder_;
+  uint64_t read_bytes_ = 0;
+  UnreadBytesGrace timeout_grace_;
   // When bytes were last received, or, if later, when the connection was established or a call was added to a
   // connection that had none in flight.
   Clock::time_point last_bytes_at_{};
--- a/tests/net/counter_client_test.cpp
+++ b/tests/net/counter_client_test.cpp
@@ -1,6 +1,8 @@
 // Tests the counter client against a stub counter, in an event loop that the test runs.
 #include "net/counter_client.h"
 
+#include <poll.h>
+
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
@@ -10,6 +12,7 @@
 #include <vector>
 
 #include "support/gateway_fixture.h"
+#include "support/manual_listener.h"
 #include "support/ready_sockets.h"
 
 namespace gateway::net {
@@ -155,5 +158,27 @@
   EXPECT_EQ(test.replies.at(0).result, policy::CallResult::kOk);
 }
 
+// The timeout of a call is due, and whenever the client looks there are unread bytes of a reply that never
+// ends. If they put off the timeout for as long as there are any, a request that waits for the call waits for
+// ever.
+TEST(CounterClient, TimesOutACallWhoseCounterFillsItsSocketForEver) {
+  constexpr int kMaxHandlers = 500;
+  ManualListener listener;
+  ClientUnderTest test(listener.port(), 1);
+  test.client.Call(11, 1, 5);
+  test.RunUntil([&] { return listener.HasPending(); });
+  auto counter = listener.Accept();
+  pollfd called{counter->fd(), POLLIN, 0};
+  test.RunUntil([&] { return poll(&called, 1, 0) > 0; });
+  counter->Write("$7000\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+  for (int i = 0; i < kMaxHandlers && test.replies.empty(); ++i) {
+    counter->Write("7");
+    test.io.run_one_for(std::chrono::milliseconds(1));
+  }
+  ASSERT_EQ(test.replies.size(), 1u);
+  EXPECT_EQ(test.replies[0].result, policy::CallResult::kTimeout);
+}
+
 }  // namespace
 }  // namespace gateway::net
