--- a/src/net/event_count_log.h
+++ b/src/net/event_count_log.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "net/clock.h"
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -353,7 +353,9 @@
   if (request == nullptr) return;
   InFlightAttempt& ended = request->attempts[static_cast<size_t>(attempt)];
   ended.in_flight = false;
-  response_fault_log_.Count(end.fault, ended.backend_id, Clock::now());
+  if (end.fault != ResponseFault::kNone) {
+    response_fault_log_.Count(end.fault, ended.backend_id, Clock::now());
+  }
   requests_.BeginOutcomeHandling(request_id);
   // If the attempt was not sent because the client disconnected, the policy must learn of the disconnection
   // before the outcome, or it would retry.
--- a/src/net/response_reader.h
+++ b/src/net/response_reader.h
@@ -29,7 +29,7 @@
 
   bool IsComplete() const { return parser_->is_done(); }
 
-  // Whether a byte of the message that is being read has been received.
+  // Whether the head of the message that is being read has been parsed, which needs the whole head.
   bool HasStarted() const { return parser_->got_some(); }
 
   // The following are only valid for a complete response.
--- a/tests/support/system_call_supervisor.h
+++ b/tests/support/system_call_supervisor.h
@@ -73,41 +73,40 @@
  private:
   static constexpr int kParent = 0, kChild = 1;
 
-  union DescriptorMessage {
-    cmsghdr header;
-    char bytes[CMSG_SPACE(sizeof(int))];
-  };
+  // A message of one byte that carries one descriptor.
+  struct DescriptorMessage {
+    DescriptorMessage() {
+      header.msg_iov = &data;
+      header.msg_iovlen = 1;
+      header.msg_control = control;
+      header.msg_controllen = sizeof(control);
+    }
+    DescriptorMessage(const DescriptorMessage&) = delete;
+    DescriptorMessage& operator=(const DescriptorMessage&) = delete;
 
-  static bool SendDescriptor(int socket, int descriptor) {
     char byte = 0;
     iovec data{&byte, 1};
-    DescriptorMessage control{};
-    msghdr message{};
-    message.msg_iov = &data;
-    message.msg_iovlen = 1;
-    message.msg_control = control.bytes;
-    message.msg_controllen = sizeof(control.bytes);
-    cmsghdr* header = CMSG_FIRSTHDR(&message);
-    header->cmsg_level = SOL_SOCKET;
-    header->cmsg_type = SCM_RIGHTS;
-    header->cmsg_len = CMSG_LEN(sizeof(int));
-    std::memcpy(CMSG_DATA(header), &descriptor, sizeof(descriptor));
-    return sendmsg(socket, &message, 0) == 1;
+    alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))]{};
+    msghdr header{};
+  };
+
+  static bool SendDescriptor(int socket, int descriptor) {
+    DescriptorMessage message;
+    cmsghdr* control = CMSG_FIRSTHDR(&message.header);
+    control->cmsg_level = SOL_SOCKET;
+    control->cmsg_type = SCM_RIGHTS;
+    control->cmsg_len = CMSG_LEN(sizeof(int));
+    std::memcpy(CMSG_DATA(control), &descriptor, sizeof(descriptor));
+    return sendmsg(socket, &message.header, 0) == 1;
   }
 
+  // Returns -1 if the other end has sent nothing and closed the socket.
   static int ReceiveDescriptor(int socket) {
-    char byte;
-    iovec data{&byte, 1};
-    DescriptorMessage control{};
-    msghdr message{};
-    message.msg_iov = &data;
-    message.msg_iovlen = 1;
-    message.msg_control = control.bytes;
-    message.msg_controllen = sizeof(control.bytes);
-    if (recvmsg(socket, &message, MSG_CMSG_CLOEXEC) != 1) return -1;
-    const cmsghdr* header = CMSG_FIRSTHDR(&message);
+    DescriptorMessage message;
+    if (recvmsg(socket, &message.header, MSG_CMSG_CLOEXEC) != 1) return -1;
+    const cmsghdr* control = CMSG_FIRSTHDR(&message.header);
     int descriptor = -1;
-    if (header != nullptr) std::memcpy(&descriptor, CMSG_DATA(header), sizeof(descriptor));
+    if (control != nullptr) std::memcpy(&descriptor, CMSG_DATA(control), sizeof(descriptor));
     return descriptor;
   }
 
