Read the time of a ppoll through the memory file of the process

Cause: the linter refuses the cast of an address to a pointer that process_vm_readv needs. Change: SystemCallSupervisor reads /proc/PID/mem at the address.

--- a/tests/support/system_call_supervisor.h
+++ b/tests/support/system_call_supervisor.h
@@ -11,13 +11,13 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
-#include <sys/uio.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <cstdint>
 #include <cstring>
 #include <ctime>
+#include <string>
 #include <thread>
 
 #include "support/system_call_filter.h"
@@ -142,13 +142,22 @@
     constexpr int kTimeArgument = 2, kSignalMaskArgument = 3;
     if (call.data.nr != SYS_ppoll || call.data.args[kSignalMaskArgument] != 0) return false;
     timespec time{};
-    iovec here{&time, sizeof(time)};
-    iovec there{reinterpret_cast<void*>(call.data.args[kTimeArgument]), sizeof(time)};
-    ssize_t size = process_vm_readv(static_cast<pid_t>(call.pid), &here, 1, &there, 1, 0);
+    bool was_read = ReadMemory(call.pid, call.data.args[kTimeArgument], &time);
     // The id is valid only while the process that made the call waits in it, so that the memory was its own.
     uint64_t id = call.id;
-    return size == static_cast<ssize_t>(sizeof(time)) && time.tv_sec == 0 && time.tv_nsec == 0 &&
-           ioctl(listener_, SECCOMP_IOCTL_NOTIF_ID_VALID, &id) == 0;
+    bool is_still_waiting = ioctl(listener_, SECCOMP_IOCTL_NOTIF_ID_VALID, &id) == 0;
+    return was_read && is_still_waiting && time.tv_sec == 0 && time.tv_nsec == 0;
+  }
+
+  // Returns false if there is no memory at the address, as where a poll has no time because it waits for
+  // ever.
+  static bool ReadMemory(uint32_t pid, uint64_t address, timespec* value) {
+    std::string path = "/proc/" + std::to_string(pid) + "/mem";
+    int memory = open(path.c_str(), O_RDONLY | O_CLOEXEC);
+    if (memory < 0) return false;
+    ssize_t size = pread(memory, value, sizeof(*value), static_cast<off_t>(address));
+    close(memory);
+    return size == static_cast<ssize_t>(sizeof(*value));
   }
 
   const uint32_t action_;
