--- a/tests/net/backend_connection_test.cpp
+++ b/tests/net/backend_connection_test.cpp
@@ -76,25 +76,11 @@
 // complete the response (review case 9). If they put off the timeout for as long as there are any, a backend
 // that fills its socket for ever keeps a client waiting, in each form of a response that may go on for long.
 TEST(BackendConnection, TimesOutAnAttemptWhoseBackendFillsItsSocketForEver) {
-  struct EndlessResponse {
-    const char* form;
-    std::string begin, rest;
-  };
   constexpr int kMaxHandlers = 500;
   constexpr double kTimeoutS = 2;
-  const std::string head = "HTTP/1.1 200 OK\r\n";
-  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
-  const std::vector<EndlessResponse> responses = {
-      {"field", head + "X-More: ", "x"},
-      {"field of an interim response", "HTTP/1.1 103 Early Hints\r\nX-More: ", "x"},
-      {"body", head + "Content-Length: 60000\r\n\r\n", "b"},
-      {"body until the end of the connection", head + "\r\n", "b"},
-      {"extension", chunked + "1;", "x"},
-      {"chunks", chunked, "1\r\nb\r\n"},
-      {"trailer", chunked + "0\r\nX-More: ", "x"},
-      {"second copy", OkResponse("body") + head + "X-More: ", "x"}};
+  const std::vector<EndlessMessage> responses = EndlessResponses();
   std::vector<std::unique_ptr<ExchangeFixture>> exchanges;
-  for (const EndlessResponse& response : responses) {
+  for (const EndlessMessage& response : responses) {
     exchanges.push_back(std::make_unique<ExchangeFixture>(kTimeoutS));
     exchanges.back()->backend->Write(response.begin);
   }
--- a/tests/net/client_server_test.cpp
+++ b/tests/net/client_server_test.cpp
@@ -105,14 +105,8 @@
   EXPECT_TRUE(incomplete->AwaitEnd());
 }
 
-// A client that never completes a request: it sends `begin` once and `rest` for ever.
-struct EndlessMessage {
-  const char* form;
-  std::string begin, rest;
-};
-
-// Returns a message in each form whose rest may go on for long.
-std::vector<EndlessMessage> EndlessMessages() {
+// Returns a request in each form whose rest may go on for long.
+std::vector<EndlessMessage> EndlessRequests() {
   const std::string chunked = "POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
   return {{"request line", "GET /", "x"},
           {"field", "GET / HTTP/1.1\r\nX-More: ", "x"},
@@ -158,7 +152,7 @@
 // it (review case 6). If they put off the time-out for as long as there are any, a client that fills its
 // socket for ever is never timed out.
 TEST(ClientServer, TimesOutARequestWhoseClientFillsItsSocketForEver) {
-  for (const EndlessMessage& message : EndlessMessages()) {
+  for (const EndlessMessage& message : EndlessRequests()) {
     if (message.form == std::string("refused")) continue;  // it is answered
     ClientServerFixture fixture(100, Clock::duration::zero());
     Flood flood(fixture, message, 1);
@@ -184,7 +178,7 @@
 // incomplete or have been refused. If a session with unread bytes were never evicted, another client would
 // wait in the accept queue until the first of them ended.
 TEST(ClientServer, EvictsClientsThatFillTheirSocketsForEver) {
-  for (const EndlessMessage& message : EndlessMessages()) {
+  for (const EndlessMessage& message : EndlessRequests()) {
     ClientServerFixture fixture(2);
     Flood flood(fixture, message, 2);
     flood.RunUntil([&] { return fixture.server.incomplete_count() > 0; }, kMaxFloodHandlers);
--- a/tests/support/flooding_peer.h
+++ b/tests/support/flooding_peer.h
@@ -1,4 +1,4 @@
-// A peer that fills its socket for ever.
+// Peers that fill their sockets for ever, and messages that never end.
 #ifndef GATEWAY_TESTS_SUPPORT_FLOODING_PEER_H_
 #define GATEWAY_TESTS_SUPPORT_FLOODING_PEER_H_
 
@@ -9,7 +9,9 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
+#include "support/http_message.h"
 #include "support/test_connection.h"
 
 namespace gateway::test_support {
@@ -47,6 +49,26 @@
   std::thread thread_;
 };
 
+// A message that never ends: a peer sends `begin` once and `rest` for ever.
+struct EndlessMessage {
+  const char* form;
+  std::string begin, rest;
+};
+
+// Returns a response in each form whose rest may go on for long.
+inline std::vector<EndlessMessage> EndlessResponses() {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  return {{"field", head + "X-More: ", "x"},
+          {"field of an interim response", "HTTP/1.1 103 Early Hints\r\nX-More: ", "x"},
+          {"body", head + "Content-Length: 60000\r\n\r\n", "b"},
+          {"body until the end of the connection", head + "\r\n", "b"},
+          {"extension", chunked + "1;", "x"},
+          {"chunks", chunked, "1\r\nb\r\n"},
+          {"trailer", chunked + "0\r\nX-More: ", "x"},
+          {"second copy", OkResponse("body") + head + "X-More: ", "x"}};
+}
+
 // Returns chunks of one byte, each with an extension of this length (RFC 9112, 7.1.1).
 inline std::string ChunksWithExtensions(size_t extension_bytes, int count = 16) {
   const std::string chunk = "1;x=" + std::string(extension_bytes, 'x') + "\r\ny\r\n";
