Bound how long unread bytes keep an incomplete connection open in a shutdown

What operators could see: a gateway that is told to end does not, up to 0.6 s after its longest deadline, while a client sends an incomplete request without a pause. Cause: ClientServer::CloseIncomplete passed over each session with unread bytes, and was called once. Change: such a session is treated as one whose request time-out is due, which reads what has arrived (UnreadBytesGrace) and then closes it, unless that completes its request. One that lingers is closed at once. Evidence: ClosesIncompleteSessionsWhoseClientsFillTheirSocketsForEver failed in all seven forms on the sources before and passes now. That what had arrived is served is tested for a request of 60,000 bytes, which passed before too.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -171,7 +171,7 @@
 void ClientServer::CloseIncomplete() {
   CloseIdle();
   for (uint64_t id : std::vector<uint64_t>(incomplete_.begin(), incomplete_.end())) {
-    sessions_.at(id)->CloseIfIncomplete();
+    sessions_.at(id)->CloseUnlessCompletedByUnreadBytes();
   }
 }
 
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -67,8 +67,8 @@
   void CloseAfterResponses() { closes_after_responses_ = true; }
   // Closes the idle connections, except those with unprocessed bytes from the client.
   void CloseIdle();
-  // Closes the idle connections and also those that are lingering or whose request is incomplete, except
-  // those with unread bytes.
+  // Closes the idle connections and also those that are lingering or whose request is incomplete. Bytes that
+  // have arrived are read first: a connection stays if they complete its request.
   void CloseIncomplete();
 
   // The number of sessions that can be evicted as incomplete.
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -98,6 +98,11 @@
   return true;
 }
 
+void ClientSession::CloseUnlessCompletedByUnreadBytes() {
+  if (!IsReading()) return Close();
+  ArmReadTimeout(Clock::now());
+}
+
 void ClientSession::StopReading() {
   if (!read_limit_) read_limit_ = read_bytes_ + kMaxReadAheadBytes;
   if (state_ == State::kIdle && buffer_.size() == 0) Close();
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -110,6 +110,10 @@
   // closed.
   bool ReadThenCloseIfIncomplete();
 
+  // Closes an incomplete session as its time-out would: bytes that have arrived are read first, in handlers
+  // of the session, and if they complete its request, the session stays.
+  void CloseUnlessCompletedByUnreadBytes();
+
   // Makes the session read no further requests. It answers those that it has read and then closes.
   void StopReading();
 
--- a/tests/net/client_server_test.cpp
+++ b/tests/net/client_server_test.cpp
@@ -128,10 +128,13 @@
       clients_.back()->Write(message_.begin);
     }
   }
+  void WriteRest() {
+    for (auto& client : clients_) client->Write(message_.rest);
+  }
   // Runs handlers until `done()` returns true, at most `max_handlers`. Returns the last result of `done()`.
   bool RunUntil(const std::function<bool()>& done, int max_handlers) {
     for (int i = 0; i < max_handlers && !done(); ++i) {
-      for (auto& client : clients_) client->Write(message_.rest);
+      WriteRest();
       fixture_.io.restart();
       fixture_.io.run_one_for(std::chrono::milliseconds(1));
     }
@@ -160,8 +163,36 @@
   }
 }
 
-// The same with a request that arrives faster than it is read, so that its socket is never empty after a read
-// either. The request comes to 1 MB, since its chunks of one byte have 15 bytes of framing each.
+// A gateway that shuts down closes the connections whose requests are incomplete. A client that fills its
+// socket for ever has unread bytes whenever the server looks, and would keep the gateway from ending.
+TEST(ClientServer, ClosesIncompleteSessionsWhoseClientsFillTheirSocketsForEver) {
+  for (const EndlessMessage& message : EndlessRequests()) {
+    ClientServerFixture fixture;
+    Flood flood(fixture, message, 1);
+    flood.RunUntil([&] { return fixture.server.incomplete_count() > 0; }, kMaxFloodHandlers);
+    flood.WriteRest();
+    fixture.server.CloseIncomplete();
+    EXPECT_TRUE(flood.RunUntil([&] { return fixture.server.HasNoConnections(); }, kMaxFloodHandlers))
+        << message.form;
+  }
+}
+
+// The rest of a request has arrived when the gateway closes the connections whose requests are incomplete. It
+// must be read, as a request that has arrived must get a response.
+TEST(ClientServer, ServesARequestThatIsCompletedByUnreadBytesWhenIncompleteSessionsAreClosed) {
+  ClientServerFixture fixture;
+  const std::string request = Post(std::string(60000, 'b'));
+  auto client = fixture.Connect();
+  client->Write(request.substr(0, 20));
+  fixture.RunUntil([&] { return fixture.server.incomplete_count() == 1; });
+  client->Write(request.substr(20));
+  fixture.server.CloseIncomplete();
+  fixture.RunUntil([&] { return fixture.requests.size() == 1; });
+  EXPECT_TRUE(client->IsOpen());
+}
+
+// A request whose time-out is due arrives faster than it is read, so that its socket is never empty after a
+// read either. The request comes to 1 MB, since its chunks of one byte have 15 bytes of framing each.
 TEST(ClientServer, TimesOutARequestThatArrivesFasterThanItIsRead) {
   constexpr int kMaxHandlers = 150;  // the request has 210 parts
   constexpr int kChunksPerHandler = 312;
