End the silence of the counter only by a whole reply

What operators could see: a connection to the counter on which a reply never ends stays open, with calls behind that reply that all time out. Cause: CounterConnection's silence timer was set anew by each byte, and put off by each unread one. Change: only a complete reply ends the silence. Unread bytes put the timer off until what had arrived is read (UnreadBytesGrace). Evidence: ClosesAConnectionWhoseReplyNeverEnds failed in both forms on the sources before and passes now. KeepsAConnectionWhoseReplyArrivedDuringAStall passed before too.

--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -17,7 +17,7 @@
 // behind its own.
 constexpr size_t kMaxConnections = 8;
 constexpr size_t kMaxCallsInFlight = 64;  // per connection
-// A connection with calls in flight is closed after the longer of these two times without a byte.
+// A connection with calls in flight is closed after the longer of these two times without a complete reply.
 constexpr auto kMinSilence = std::chrono::milliseconds(1000);
 constexpr int kMinSilenceTimeouts = 2;  // as a multiple of a call's timeout
 constexpr auto kMinBackoff = std::chrono::milliseconds(20);
--- a/src/net/counter_connection.cpp
+++ b/src/net/counter_connection.cpp
@@ -43,7 +43,7 @@
   }
   calls_.resize(kept);
   queued_commands_.clear();
-  last_bytes_at_ = Clock::now();
+  last_reply_at_ = Clock::now();
   if (!calls_.empty()) ArmSilenceTimer();
   Write();
 }
@@ -52,7 +52,7 @@
   calls_.push_back(std::move(call));
   if (state_ == State::kConnecting) return queued_commands_.push_back(std::move(command));
   if (calls_.size() == 1) {
-    last_bytes_at_ = Clock::now();
+    last_reply_at_ = Clock::now();
     ArmSilenceTimer();
   }
   unsent_commands_ += command;
@@ -112,7 +112,6 @@
 }
 
 void CounterConnection::OnReceived(size_t size) {
-  last_bytes_at_ = Clock::now();
   read_bytes_ += size;
   if (!decoder_.Feed(read_buffer_, size) || !ProcessReplies()) return Close(false);
   if (closed()) return;
@@ -132,6 +131,7 @@
     TallyReplyDecoder::Status status = decoder_.Next(&reply);
     if (status == TallyReplyDecoder::Status::kNeedMore) return true;
     if (status == TallyReplyDecoder::Status::kInvalid || calls_.empty()) return false;
+    last_reply_at_ = Clock::now();
     auto call = std::move(calls_.front());
     calls_.pop_front();
     owner_->OnCallEnded(call, reply.added ? CallResult::kOk : CallResult::kRejected, reply.total);
@@ -139,25 +139,28 @@
   return true;
 }
 
-bool CounterConnection::MustReadFirst() {
+bool CounterConnection::MustReadFirst(UnreadBytesGrace* grace) {
   if (state_ == State::kConnecting || closed()) return false;
-  return timeout_grace_.MustWait(read_bytes_, UnreadBytes(socket_), UnreadBytesGrace::Reading::kAhead);
+  return grace->MustWait(read_bytes_, UnreadBytes(socket_), UnreadBytesGrace::Reading::kAhead);
 }
 
-// Arms the timer that closes the connection after `max_silence` without a byte. This guards against a counter
-// whose machine has failed or been disconnected: that closes no connection, TCP keep-alive does not detect
-// it, and further calls would be sent on a connection that never answers. The late reply of a slow counter
-// shows that it is still reachable. The timer runs while calls are in flight; received bytes only update
-// last_bytes_at_. Unread bytes put the timer off until they are read, which updates it too: this needs no
-// further bound, as a counter that sends is not silent.
+// Arms the timer that closes the connection after `max_silence` without a complete reply. This guards against
+// a counter whose machine has failed or been disconnected: that closes no connection, TCP keep-alive does not
+// detect it, and further calls would be sent on a connection that never answers. It also ends a reply that
+// never ends. The late reply of a slow counter shows that it is still reachable. The timer runs while calls
+// are in flight; a reply only updates last_reply_at_.
 void CounterConnection::ArmSilenceTimer() {
-  timer_.expires_at(last_bytes_at_ + options_.max_silence);
+  timer_.expires_at(last_reply_at_ + options_.max_silence);
   timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
-    if (cancelled || closed() || calls_.empty()) return;
-    bool silent = Clock::now() >= last_bytes_at_ + options_.max_silence;
-    if (silent && !HasUnreadReplies()) return Close(true);
-    ArmSilenceTimer();
+    if (!cancelled && !closed() && !calls_.empty()) OnSilenceTimer();
   });
 }
 
+void CounterConnection::OnSilenceTimer() {
+  bool silent = Clock::now() >= last_reply_at_ + options_.max_silence;
+  if (silent && !MustReadFirst(&silence_grace_)) return Close(true);
+  if (!silent) silence_grace_.Reset();
+  ArmSilenceTimer();
+}
+
 }  // namespace gateway::net
--- a/src/net/counter_connection.h
+++ b/src/net/counter_connection.h
@@ -56,7 +56,7 @@
   struct Options {
     tcp::endpoint address;
     Clock::duration connect_timeout{};
-    // The connection is closed after this time without a byte while calls are in flight.
+    // The connection is closed after this time without a complete reply while calls are in flight.
     Clock::duration max_silence{};
   };
 
@@ -84,7 +84,7 @@
   size_t calls_in_flight() const { return calls_.size(); }
 
   // Returns whether the timeout of a call, which is due, has to wait until bytes have been read.
-  bool MustReadFirst();
+  bool MustReadFirst() { return MustReadFirst(&timeout_grace_); }
   // Must be called when no timeout of a call is due any more.
   void ResetTimeoutGrace() { timeout_grace_.Reset(); }
 
@@ -100,8 +100,9 @@
   void Read();
   void OnReceived(size_t size);
   bool ProcessReplies();
+  bool MustReadFirst(UnreadBytesGrace* grace);
   void ArmSilenceTimer();
-  bool HasUnreadReplies() { return HasUnreadBytes(socket_); }
+  void OnSilenceTimer();
 
   static constexpr size_t kReadBufferBytes = 1024;
 
@@ -120,10 +121,10 @@
   char read_buffer_[kReadBufferBytes];
   TallyReplyDecoder decoder_;
   uint64_t read_bytes_ = 0;
-  UnreadBytesGrace timeout_grace_;
-  // When bytes were last received, or, if later, when the connection was established or a call was added to a
+  UnreadBytesGrace timeout_grace_, silence_grace_;
+  // When a reply was last decoded, or, if later, when the connection was established or a call was added to a
   // connection that had none in flight.
-  Clock::time_point last_bytes_at_{};
+  Clock::time_point last_reply_at_{};
 };
 
 }  // namespace gateway::net
--- a/tests/net/counter_client_test.cpp
+++ b/tests/net/counter_client_test.cpp
@@ -7,8 +7,10 @@
 #include <chrono>
 #include <cstdlib>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "support/gateway_fixture.h"
@@ -158,26 +160,67 @@
   EXPECT_EQ(test.replies.at(0).result, policy::CallResult::kOk);
 }
 
+// A counter that has received one call and has not replied yet.
+struct CalledCounterFixture {
+  explicit CalledCounterFixture(double timeout_s) : test(listener.port(), timeout_s) {
+    test.client.Call(11, 1, 5);
+    test.RunUntil([this] { return listener.HasPending(); });
+    counter = listener.Accept();
+    pollfd called{counter->fd(), POLLIN, 0};
+    test.RunUntil([&] { return poll(&called, 1, 0) > 0; });
+    counter->Receive();
+  }
+  ManualListener listener;
+  ClientUnderTest test;
+  std::unique_ptr<TestConnection> counter;
+};
+
 // The timeout of a call is due, and whenever the client looks there are unread bytes of a reply that never
 // ends. If they put off the timeout for as long as there are any, a request that waits for the call waits for
 // ever.
 TEST(CounterClient, TimesOutACallWhoseCounterFillsItsSocketForEver) {
   constexpr int kMaxHandlers = 500;
-  ManualListener listener;
-  ClientUnderTest test(listener.port(), 1);
-  test.client.Call(11, 1, 5);
-  test.RunUntil([&] { return listener.HasPending(); });
-  auto counter = listener.Accept();
-  pollfd called{counter->fd(), POLLIN, 0};
-  test.RunUntil([&] { return poll(&called, 1, 0) > 0; });
-  counter->Write("$7000\r\n");
+  CalledCounterFixture fixture(1);
+  fixture.counter->Write("$7000\r\n");
   std::this_thread::sleep_for(std::chrono::milliseconds(1100));
-  for (int i = 0; i < kMaxHandlers && test.replies.empty(); ++i) {
-    counter->Write("7");
-    test.io.run_one_for(std::chrono::milliseconds(1));
+  for (int i = 0; i < kMaxHandlers && fixture.test.replies.empty(); ++i) {
+    fixture.counter->Write("7");
+    fixture.test.io.run_one_for(std::chrono::milliseconds(1));
   }
-  ASSERT_EQ(test.replies.size(), 1u);
-  EXPECT_EQ(test.replies[0].result, policy::CallResult::kTimeout);
+  ASSERT_EQ(fixture.test.replies.size(), 1u);
+  EXPECT_EQ(fixture.test.replies[0].result, policy::CallResult::kTimeout);
+}
+
+// A counter sends a reply that never ends, a bulk string or the elements of an array, and never stops for
+// long. If any byte ended its silence, its connection would stay open for ever, with calls behind that reply.
+TEST(CounterClient, ClosesAConnectionWhoseReplyNeverEnds) {
+  constexpr int kMaxHandlers = 500;
+  const std::vector<std::pair<std::string, std::string>> replies = {{"$7000\r\n", "7"},
+                                                                    {"*7000\r\n", ":7\r\n"}};
+  for (const auto& [begin, rest] : replies) {
+    CalledCounterFixture fixture(0.1);
+    fixture.counter->Write(begin);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+    for (int i = 0; i < kMaxHandlers && fixture.counter->IsOpen(); ++i) {
+      fixture.counter->Write(rest);
+      fixture.test.io.run_one_for(std::chrono::milliseconds(1));
+    }
+    EXPECT_FALSE(fixture.counter->IsOpen()) << begin;
+  }
+}
+
+// The event loop stalls for longer than a connection may be silent, and meanwhile the reply arrives. The
+// counter was not silent, so that the connection must stay open and serve the next call.
+TEST(CounterClient, KeepsAConnectionWhoseReplyArrivedDuringAStall) {
+  CalledCounterFixture fixture(0.1);
+  fixture.counter->Write(BulkString("7"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+  fixture.test.RunUntil([&] { return !fixture.test.replies.empty(); });
+  EXPECT_EQ(fixture.test.replies[0].result, policy::CallResult::kOk);
+  fixture.test.client.Call(12, 1, 5);
+  fixture.counter->Write(BulkString("8"));
+  fixture.test.RunUntil([&] { return fixture.test.replies.size() == 2; });
+  EXPECT_EQ(fixture.test.replies[1].total, 8);
 }
 
 }  // namespace
