Doubt the end of a request behind which more empty lines follow than are skipped

What callers could see: a request whose length was too small by more than 64 bytes of line ends was run, and the next one on its connection got 400. Cause: CheckRequestEnd trusted any number of empty lines, before it looked at their limit (kMaxEmptyLineBytes). Change: the limit is looked at first. Evidence: RequestEndCheck.DoubtsAnEndThatOtherBytesFollow failed with 66 bytes of empty lines on the sources before and passes now.

--- a/src/net/request_end_check.cpp
+++ b/src/net/request_end_check.cpp
@@ -46,11 +46,11 @@
 }  // namespace
 
 RequestEnd CheckRequestEnd(std::string_view following) {
-  std::string_view unexplained = SkipEmptyLines(following);
-  if (unexplained.empty() || unexplained == "\r") return RequestEnd::kTrusted;
-  // Other line ends may stand before a request too, but a body that is cut off may end with them.
   size_t begin = std::min(following.find_first_not_of(kLineEnd), following.size());
   if (begin > kMaxEmptyLineBytes) return RequestEnd::kDoubtful;
+  // Other line ends may stand before a request too, but a body that is cut off may end with them.
+  std::string_view unexplained = SkipEmptyLines(following);
+  if (unexplained.empty() || unexplained == "\r") return RequestEnd::kTrusted;
   std::string_view next = following.substr(begin);
   if (!MayBeginWithMethod(next)) return RequestEnd::kDoubtful;
   size_t line_bytes = next.find(kLineEnd);
--- a/tests/net/request_end_check_test.cpp
+++ b/tests/net/request_end_check_test.cpp
@@ -4,6 +4,8 @@
 
 #include <string>
 
+#include "net/http_framing.h"
+
 namespace gateway::net {
 namespace {
 
@@ -35,12 +37,14 @@
 
 TEST(RequestEndCheck, DoubtsAnEndThatOtherBytesFollow) {
   const std::string long_target(20000, 'x');
+  std::string many_empty_lines;
+  for (size_t size = 0; size <= kMaxEmptyLineBytes; size += 2) many_empty_lines += "\r\n";
   for (const std::string& following :
        {std::string("}"), std::string("7"), std::string("get / HTTP/1.1"), std::string("PU7"),
         std::string("\r\nrest"), std::string("GETS"), std::string("POST no version\r\n"),
         std::string("GET  HTTP/1.1\r\n"), std::string("GET HTTP/1.1\r\n"), std::string("GET / HTTP/2.0\r\n"),
         std::string("PUT it there HTTP/1.1\r\n"), std::string("GET /\n HTTP/1.1\r\n"), "GET /" + long_target,
-        std::string(100, '\n')}) {
+        std::string(100, '\n'), many_empty_lines}) {
     EXPECT_EQ(CheckRequestEnd(following), RequestEnd::kDoubtful) << following.substr(0, 40);
   }
 }
