Reject what a client sent behind its request while another waits for the connection

Cause: a session that has to make room reads nothing more, but served the up to 36 KiB that it had read, one request after another. Change: those are answered with 503 and not forwarded (requests_ended connection_limit=), and a session reads 8 KiB ahead at most. Evidence: GatewayConnections.AnswersANewClientWhileAllOthersSendRequestsForEver failed in three of three plays on the sources before (no answer in 60 s) and passed in three of three, within a second.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -98,7 +98,7 @@
 
 // If every session had a request when the limit was reached, the first session that becomes idle again is
 // evicted. Otherwise clients could wait in the accept queue forever. If its client has already sent further
-// requests, only those that have been read are answered.
+// requests, those that have been read are answered with a rejection, as each of them could take long.
 void ClientServer::EvictOrStopIfPaused(uint64_t idle_id) {
   if (!accepting_paused_ || EvictSession(0)) return;
   if (auto session = Find(idle_id)) session->StopReading();
@@ -155,6 +155,11 @@
   return it == sessions_.end() || it->second->HasClientLeft();
 }
 
+bool ClientServer::MustMakeRoom(uint64_t connection) const {
+  auto session = Find(connection);
+  return session != nullptr && session->HasStoppedReading();
+}
+
 void ClientServer::Close(uint64_t connection) {
   if (auto session = Find(connection)) session->Close();
 }
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -59,6 +59,9 @@
   // that has been closed.
   bool HasClientLeft(uint64_t connection);
 
+  // Whether another client waits for this connection to close, and further requests on it are to be rejected.
+  bool MustMakeRoom(uint64_t connection) const;
+
   // Closes the connection of a client that has disconnected.
   void Close(uint64_t connection);
 
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -12,9 +12,12 @@
 namespace gateway::net {
 namespace {
 
-// The limit on bytes that are buffered before the current response has been written. Beyond it nothing is
-// read until then, so that clients cannot exhaust the memory.
-constexpr size_t kMaxReadAheadBytes = 2 * kMaxHeaderBytes;
+// A request that is read stays below it: an incomplete head or chunk is at most kMaxHeaderBytes.
+constexpr size_t kMaxBufferedBytes = 2 * kMaxHeaderBytes + kReadChunkBytes;
+// The limit on bytes that are buffered behind the current request. Beyond it nothing is read until the
+// response has been written. Whatever has been read must be answered before the session can make room for
+// another client.
+constexpr size_t kMaxReadAheadBytes = kReadChunkBytes;
 constexpr size_t kMaxLingeringBytes = size_t{1} << 20;
 constexpr auto kLingerTimeout = std::chrono::seconds(1);  // for a client to read its last response
 constexpr auto kWriteTimeout = std::chrono::seconds(10);  // for a client to read a response
@@ -38,7 +41,7 @@
       request_timeout_(request_timeout),
       socket_(std::move(socket)),
       timer_(io),
-      buffer_(kMaxReadAheadBytes + kReadChunkBytes) {}
+      buffer_(kMaxBufferedBytes) {}
 
 // The request time-out runs from the start, as a guard against clients that connect and send nothing or never
 // complete a request.
@@ -52,7 +55,7 @@
   if (state_ != State::kAwaitingResponse) return;
   // A request that the client has already sent is served before the connection is closed.
   bool last_response = owner_->ClosesAfterResponses() && !HasUnprocessedBytes();
-  if (read_limit_ && buffer_.size() == 0) last_response = true;
+  if (reading_stopped_ && buffer_.size() == 0) last_response = true;
   Write(response, keep_alive_ && !last_response);
 }
 
@@ -104,7 +107,7 @@
 }
 
 void ClientSession::StopReading() {
-  if (!read_limit_) read_limit_ = read_bytes_ + kMaxReadAheadBytes;
+  reading_stopped_ = true;
   if (state_ == State::kIdle && buffer_.size() == 0) Close();
 }
 
@@ -133,14 +136,19 @@
   owner_->OnIdle(this);
 }
 
-bool ClientSession::MayRead() const {
-  return !read_limit_ || (state_ == State::kCheckingEnd && read_bytes_ < *read_limit_);
+bool ClientSession::MayRead() const { return !reading_stopped_ || state_ == State::kCheckingEnd; }
+
+// Whether so much is buffered behind the current request that nothing is read before its response has been
+// written.
+bool ClientSession::HasReadAhead() const {
+  bool needs_more = state_ == State::kReceiving || state_ == State::kCheckingEnd;
+  return !needs_more && buffer_.size() >= kMaxReadAheadBytes;
 }
 
 void ClientSession::Read() {
   if (read_pending_ || received_eof_ || state_ == State::kClosed) return;
   if (!MayRead()) return OnReadingStopped();
-  if (buffer_.size() >= kMaxReadAheadBytes) return PollForDisconnect();
+  if (HasReadAhead()) return PollForDisconnect();
   read_pending_ = true;
   // Waits for readability without reading. The bytes stay in the socket until the handler runs, so that
   // CloseIfIdle and CloseIfIncomplete see them there, and a waiting session needs no buffer.
@@ -297,6 +305,7 @@
 // request is rejected: running a request that is cut off would do more harm.
 void ClientSession::HoldBack() {
   if (held_back_since_) return;
+  if (reading_stopped_) return PassOn();  // it is not forwarded
   Clock::duration limit = owner_->MaxEndCheckTime(parser_->get());
   if (limit == Clock::duration::zero()) return PassOn();
   held_back_since_ = Clock::now();
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -114,8 +114,10 @@
   // of the session, and if they complete its request, the session stays.
   void CloseUnlessCompletedByUnreadBytes();
 
-  // Makes the session read no further requests. It answers those that it has read and then closes.
+  // Makes an idle session read no further requests, and close once those that it has read are answered. They
+  // may be cut off, as their end is not awaited, so the owner must not forward them.
   void StopReading();
+  bool HasStoppedReading() const { return reading_stopped_; }
 
   // Closes the session immediately; does nothing if it is closed already.
   void Close();
@@ -134,6 +136,7 @@
   // Whether the session is waiting for bytes that complete a request or tell whether it is cut off.
   bool NeedsBytes() const { return IsReading() || state_ == State::kCheckingEnd; }
   bool MayRead() const;
+  bool HasReadAhead() const;
 
   void BecomeIdle();
   void Read();
@@ -184,9 +187,7 @@
   bool read_timeout_armed_ = false;
   bool read_timed_out_ = false;
   UnreadBytesGrace read_timeout_grace_;
-  // Set once the session has to close: the number of bytes up to which it may still read to check a request's
-  // end. Otherwise it reads nothing more.
-  std::optional<uint64_t> read_limit_;
+  bool reading_stopped_ = false;
   bool keep_alive_ = true;                            // as requested by the last request
   std::optional<Clock::time_point> held_back_since_;  // in kCheckingEnd
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -242,6 +242,10 @@
   if (requests_.IsClientRequestIdInUse(parsed.client_request_id)) {
     return ReplyStatus(connection, http::status::bad_request);
   }
+  if (server_.MustMakeRoom(connection)) {
+    rejection_log_.Count(RejectionLog::Cause::kConnectionLimit, parsed.client_request_id, Clock::now());
+    return ReplyStatus(connection, http::status::service_unavailable);
+  }
   if (shutdown_.state() == GracefulShutdown::State::kDraining) {
     parsed.timeout_s = std::min(parsed.timeout_s, shutdown_.AnswerTimeLeftS());
     if (parsed.timeout_s <= 0) {
--- a/src/net/rejection_log.cpp
+++ b/src/net/rejection_log.cpp
@@ -7,7 +7,7 @@
     : counts_(io, log,
               {"requests_ended",
                {"invalid", "over_quota", "overload", "no_backend", "given_up", "failed", "deadline",
-                "shutdown", "client_left"},
+                "shutdown", "client_left", "connection_limit"},
                "last_id"}) {}
 
 RejectionLog::Cause RejectionLog::CauseFor(policy::RejectReason reason) {
--- a/src/net/rejection_log.h
+++ b/src/net/rejection_log.h
@@ -29,6 +29,7 @@
     kDeadline,
     kShutdown,
     kClientLeft,
+    kConnectionLimit,  // another client waited for the connection
   };
 
   // `log` must outlive this object.
--- a/tests/net/gateway_connections_test.cpp
+++ b/tests/net/gateway_connections_test.cpp
@@ -9,8 +9,10 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include "support/flooding_peer.h"
 #include "support/gateway_fixture.h"
 
 namespace gateway::net {
@@ -89,6 +91,54 @@
   EXPECT_EQ(client->Read().body, "three");
 }
 
+// A client sends a few thousand requests at once. Each has to be answered, and the gateway must not read so
+// far ahead that its buffer overflows.
+TEST(GatewayConnections, AnswersThousandsOfRequestsThatAreSentAtOnce) {
+  constexpr int kRequests = 4000;
+  GatewayFixture fixture(json::array());
+  auto client = fixture.gateway->Connect();
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) requests += kReadinessRequest;
+  std::thread sender([&] { client->Write(requests); });
+  for (int i = 0; i < kRequests; ++i) ASSERT_EQ(client->Read().status(), 200) << i;
+  sender.join();
+}
+
+// All connections are held by clients that send one valid request behind another for ever (review case 6 has
+// incomplete ones). If each of them kept its connection until all requests that the gateway has read were
+// served, a new client would get its answer long after its time.
+TEST(GatewayConnections, AnswersANewClientWhileAllOthersSendRequestsForEver) {
+  constexpr auto kServiceTime = std::chrono::milliseconds(200);
+  constexpr int kTimeoutMs = 3000;
+  constexpr int kBackends = 50;
+  constexpr int kClients = 9;  // as many connections as the descriptors allow for clients
+  constexpr int kRequestsPerClient = 200;
+  StubBackend backend([&](const HttpMessage&, TestConnection&) {
+    std::this_thread::sleep_for(kServiceTime);
+    return OkResponse("x");
+  });
+  json config = ConfigJson(0, 0);
+  config["limits"]["sockets"] = 64;
+  json endpoints = json::array();
+  for (int i = 0; i < kBackends; ++i) {
+    endpoints.push_back(EndpointEntry(std::to_string(i), backend.port()));
+  }
+  GatewayFixture fixture(endpoints, config);
+  std::vector<std::unique_ptr<TestConnection>> clients;
+  std::vector<std::unique_ptr<FloodingPeer>> floods;
+  int tenant = 0;
+  for (int i = 0; i < kClients; ++i) {
+    std::string requests;
+    for (int j = 0; j < kRequestsPerClient; ++j) requests += ForTenant(++tenant, MakeRequest("send-lead"));
+    clients.push_back(fixture.gateway->Connect());
+    floods.push_back(std::make_unique<FloodingPeer>(*clients.back(), requests));
+  }
+  EXPECT_TRUE(backend.requests.Wait(kClients));
+  auto began_at = std::chrono::steady_clock::now();
+  EXPECT_TRUE(Exchange(*fixture.gateway->Connect(), MakeRequest("quote", 1, kTimeoutMs)).complete);
+  EXPECT_LT(std::chrono::steady_clock::now() - began_at, std::chrono::milliseconds(kTimeoutMs));
+}
+
 // How a backend makes its connection stale.
 enum class StaleBy { kClose, kCloseHeader, kSecondCopy, kBytesInDoubt, kLateBytes };
 
