--- a/tests/net/counter_client_test.cpp
+++ b/tests/net/counter_client_test.cpp
@@ -1,8 +1,6 @@
 // Tests the counter client against a stub counter, in an event loop that the test runs.
 #include "net/counter_client.h"
 
-#include <poll.h>
-
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
@@ -166,8 +164,7 @@
     test.client.Call(11, 1, 5);
     test.RunUntil([this] { return listener.HasPending(); });
     counter = listener.Accept();
-    pollfd called{counter->fd(), POLLIN, 0};
-    test.RunUntil([&] { return poll(&called, 1, 0) > 0; });
+    test.RunUntil([this] { return counter->IsReadable(); });
     counter->Receive();
   }
   ManualListener listener;
--- a/tests/net/gateway_unread_bytes_test.cpp
+++ b/tests/net/gateway_unread_bytes_test.cpp
@@ -1,7 +1,5 @@
 // Tests a gateway whose backends send responses that never end, in an event loop that the test runs. Whenever
 // a timer of a request looks, there are unread bytes, which may complete the response (review case 9).
-#include <poll.h>
-
 #include <chrono>
 #include <memory>
 #include <string>
@@ -24,11 +22,6 @@
 
 using namespace test_support;
 
-bool IsReadable(const TestConnection& connection) {
-  pollfd ready{connection.fd(), POLLIN, 0};
-  return poll(&ready, 1, 0) > 0;
-}
-
 // A gateway with two backends. One of them has received the request of a client and has begun a response that
 // never ends. Discovery and the counter cannot be reached.
 class FloodedGateway : public EventLoop {
@@ -40,7 +33,7 @@
     RunUntil([this] { return one_.HasPending() || other_.HasPending(); });
     silent_backend_ = one_.HasPending() ? &other_ : &one_;
     backend_ = (one_.HasPending() ? one_ : other_).Accept();
-    RunUntil([this] { return IsReadable(*backend_); });
+    RunUntil([this] { return backend_->IsReadable(); });
     backend_->Write(response_.begin);
   }
 
@@ -86,9 +79,9 @@
   }
   std::this_thread::sleep_for(std::chrono::milliseconds(kTimeoutMs));
   for (auto& gateway : gateways) {
-    for (int i = 0; i < kMaxSteps && !IsReadable(gateway->client()); ++i) gateway->Step();
-    EXPECT_TRUE(IsReadable(gateway->client())) << gateway->form();
-    if (IsReadable(gateway->client())) {
+    for (int i = 0; i < kMaxSteps && !gateway->client().IsReadable(); ++i) gateway->Step();
+    EXPECT_TRUE(gateway->client().IsReadable()) << gateway->form();
+    if (gateway->client().IsReadable()) {
       EXPECT_EQ(gateway->client().Read().status(), 502) << gateway->form();
     }
   }
--- a/tests/support/pool_fixture.h
+++ b/tests/support/pool_fixture.h
@@ -2,8 +2,6 @@
 #ifndef GATEWAY_TESTS_SUPPORT_POOL_FIXTURE_H_
 #define GATEWAY_TESTS_SUPPORT_POOL_FIXTURE_H_
 
-#include <poll.h>
-
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -25,8 +23,7 @@
   }
   // Runs the event loop until the backend's side of a connection has received bytes.
   void AwaitReadable(const TestConnection& connection) {
-    pollfd ready{connection.fd(), POLLIN, 0};
-    RunUntil([&] { return poll(&ready, 1, 0) > 0; });
+    RunUntil([&] { return connection.IsReadable(); });
   }
   std::vector<net::AttemptResult> results;  // in the order in which the attempts ended
   net::BackendConnectionPool pool;
--- a/tests/support/test_connection.h
+++ b/tests/support/test_connection.h
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -82,6 +83,11 @@
     ssize_t n = recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return n > 0 || (n < 0 && errno == EAGAIN);
   }
+  // Whether bytes have been received, or the connection has ended, so that a read does not block.
+  bool IsReadable() const {
+    pollfd ready{fd_, POLLIN, 0};
+    return poll(&ready, 1, 0) > 0;
+  }
   // Shuts down both directions, so that a thread that is blocked in a read returns.
   void Stop() { shutdown(fd_, SHUT_RDWR); }
   void HalfClose() { shutdown(fd_, SHUT_WR); }
