Let a request that is held back give way to a client that waits for its connection

Cause: a session that holds a request back until its end is clear could not be evicted. Change: it counts as incomplete from then on. Where no other can be closed, it reads what has arrived and its request is rejected with 400 unless that tells its end. RejectsARequestThatIsHeldBackWhenAnotherClientWaits failed on the sources before and passes now; ServesARequestThatIsHeldBackWhenUnreadBytesTellItsEnd and RejectsARequestThatIsFollowedByALineWithoutEnd passed before too.

--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -21,10 +21,10 @@
 // Accepts client connections and owns their sessions, each under an id that is never reused.
 //
 // When the number of sessions reaches the limit, the session that has been idle longest is closed, or else
-// the one whose request has been incomplete longest. If every session has a complete request, no connection
-// is accepted until one of them becomes idle again. Bytes that have arrived and are unread may complete a
-// request, so they are read before a session is closed, but a client cannot keep its session by sending ever
-// more. Runs on the thread of its io_context.
+// the one whose request has been incomplete, or held back, longest. If every session has a complete request,
+// no connection is accepted until one of them becomes idle again. Bytes that have arrived and are unread may
+// complete a request, so they are read before a session is closed, but a client cannot keep its session by
+// sending ever more. Runs on the thread of its io_context.
 class ClientServer final : private ClientSession::Owner {
  public:
   // Receives a request that was complete `held_back` ago. It must be answered once by Reply, within the call
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -71,7 +71,8 @@
 }
 
 bool ClientSession::CloseIfIncomplete() {
-  if (!eviction_position_.incomplete.has_value() || HasUnreadBytes(socket_)) return false;
+  if (!eviction_position_.incomplete.has_value() || state_ == State::kCheckingEnd) return false;
+  if (HasUnreadBytes(socket_)) return false;
   Close();
   return true;
 }
@@ -87,7 +88,7 @@
 bool ClientSession::ReadThenCloseIfIncomplete() {
   auto self = shared_from_this();
   size_t unread = UnreadBytes(socket_);
-  while (unread > 0 && IsReading()) {
+  while (unread > 0 && IsIncomplete()) {
     error_code error;
     size_t received = socket_.receive(buffer_.prepare(kReadChunkBytes), 0, error);
     if (error) break;
@@ -95,14 +96,15 @@
     OnBytesReceived(received);
   }
   if (state_ == State::kClosed) return true;
-  bool request_complete = !eviction_position_.incomplete.has_value();
-  if (request_complete) return false;
+  bool request_passed_on = !eviction_position_.incomplete.has_value();
+  if (request_passed_on) return false;
+  if (state_ == State::kCheckingEnd) RejectMalformed(http::error::bad_content_length);
   Close();
   return true;
 }
 
 void ClientSession::CloseUnlessCompletedByUnreadBytes() {
-  if (!IsReading()) return Close();
+  if (!IsIncomplete()) return Close();
   ArmReadTimeout(Clock::now());
 }
 
@@ -140,10 +142,7 @@
 
 // Whether so much is buffered behind the current request that nothing is read before its response has been
 // written.
-bool ClientSession::HasReadAhead() const {
-  bool needs_more = state_ == State::kReceiving || state_ == State::kCheckingEnd;
-  return !needs_more && buffer_.size() >= kMaxReadAheadBytes;
-}
+bool ClientSession::HasReadAhead() const { return !IsIncomplete() && buffer_.size() >= kMaxReadAheadBytes; }
 
 void ClientSession::Read() {
   if (read_pending_ || received_eof_ || state_ == State::kClosed) return;
@@ -301,8 +300,9 @@
 // A short read has just emptied the socket, which spares the system call.
 bool ClientSession::HasUnreadBytesBehindRequest() { return !read_emptied_socket_ && HasUnreadBytes(socket_); }
 
-// Waits for more bytes, which tell another request from the rest of a body. If none arrive in time, the
-// request is rejected: running a request that is cut off would do more harm.
+// Waits for more bytes, which tell another request from the rest of a body. If none arrive in time, or if
+// another client needs the connection, the request is rejected: running a request that is cut off would do
+// more harm.
 void ClientSession::HoldBack() {
   if (held_back_since_) return;
   if (reading_stopped_) return PassOn();  // it is not forwarded
@@ -310,11 +310,15 @@
   if (limit == Clock::duration::zero()) return PassOn();
   held_back_since_ = Clock::now();
   ArmReadTimeout(*held_back_since_ + limit);
+  owner_->OnIncomplete(this);
 }
 
 void ClientSession::PassOn() {
   Clock::duration held_back{};
-  if (held_back_since_) held_back = Clock::now() - *held_back_since_;
+  if (held_back_since_) {
+    held_back = Clock::now() - *held_back_since_;
+    owner_->OnComplete(this);
+  }
   DisarmReadTimeout();
   state_ = State::kAwaitingResponse;
   owner_->OnRequest(this, held_back);
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -51,10 +51,11 @@
    public:
     // The session has become idle: it is new, or its response has been written.
     virtual void OnIdle(ClientSession* session) = 0;
-    // The first byte of a request has arrived, or the session is lingering. It may be evicted as incomplete.
+    // The first byte of a request has arrived, the request is held back because its end is in doubt, or the
+    // session is lingering. It may be evicted as incomplete.
     virtual void OnIncomplete(ClientSession* session) = 0;
     // The session has a request that is complete by its framing, and must not be evicted. A call to OnRequest
-    // follows, unless the end of the request is in doubt.
+    // or OnIncomplete follows, unless the request is rejected.
     virtual void OnComplete(ClientSession* session) = 0;
     // Returns for how long the request may be held back while the bytes behind it do not tell whether its end
     // can be trusted. Zero if it is to be passed on at once, because it cannot have an effect.
@@ -98,16 +99,17 @@
   bool CloseIfIdle();
 
   // Closes the session if it is receiving or lingering and the socket has no unread bytes, which may be the
-  // rest of the request. Returns whether the session was closed.
+  // rest of the request. A request that is held back has to be answered. Returns whether the session was
+  // closed.
   bool CloseIfIncomplete();
 
   // Closes the session if it is lingering. Its response has been written, and unread bytes are discarded
   // anyway. Returns whether the session was closed.
   bool CloseIfLingering();
 
-  // Reads the bytes that have arrived, and closes the session unless they complete its request. Must be
-  // called from the event loop, outside of any other function of a session. Returns whether the session was
-  // closed.
+  // Reads the bytes that have arrived, and closes the session unless they complete its request. One that is
+  // held back and still in doubt is rejected first. Must be called from the event loop, outside of any other
+  // function of a session. Returns whether the session was closed.
   bool ReadThenCloseIfIncomplete();
 
   // Closes an incomplete session as its time-out would: bytes that have arrived are read first, in handlers
@@ -133,6 +135,9 @@
   bool HasUnprocessedBytes() { return buffer_.size() > 0 || HasUnreadBytes(socket_); }
   bool IsReading() const { return state_ == State::kIdle || state_ == State::kReceiving; }
 
+  // Whether bytes of a request have arrived that is not complete, or whose end is in doubt.
+  bool IsIncomplete() const { return state_ == State::kReceiving || state_ == State::kCheckingEnd; }
+
   // Whether the session is waiting for bytes that complete a request or tell whether it is cut off.
   bool NeedsBytes() const { return IsReading() || state_ == State::kCheckingEnd; }
   bool MayRead() const;
--- a/tests/net/client_server_test.cpp
+++ b/tests/net/client_server_test.cpp
@@ -31,6 +31,12 @@
             [this](const ClientRequest&) { return max_end_check_time; }, request_timeout) {
     server.Listen(LoopbackEndpoint(0));
   }
+  // What has been sent on loopback has arrived, so that this handles all of it.
+  void RunReadyHandlers() {
+    io.restart();
+    while (io.poll() > 0) {
+    }
+  }
   std::unique_ptr<TestConnection> Connect() {
     return TestConnection::ConnectTo(server.local_endpoint().port());
   }
@@ -141,6 +147,7 @@
     return done();
   }
   bool IsOpen(size_t client) const { return clients_.at(client)->IsOpen(); }
+  TestConnection& client(size_t client) { return *clients_.at(client); }
 
  private:
   ClientServerFixture& fixture_;
@@ -240,6 +247,51 @@
   EXPECT_TRUE(flood.RunUntil(reply_to_all, kMaxHandlers));
 }
 
+// All connections are held by clients whose requests are followed by a byte that may be the rest of a body
+// (review case 10). If they were held back while another client waits, it would wait for them all.
+TEST(ClientServer, RejectsARequestThatIsHeldBackWhenAnotherClientWaits) {
+  ClientServerFixture fixture(2);
+  fixture.max_end_check_time = std::chrono::hours(1);
+  auto held_back = fixture.Connect(), other = fixture.Connect();
+  held_back->Write(Post("one") + "P");
+  fixture.RunReadyHandlers();
+  other->Write(Post("two") + "P");
+  auto waiting = fixture.Connect();
+  waiting->Write(Post("waiting"));
+  fixture.RunUntil([&] { return fixture.requests.size() == 1; });
+  EXPECT_EQ(fixture.requests[0].second.body(), "waiting");
+  EXPECT_EQ(held_back->Read().status(), 400);
+}
+
+// The bytes that tell that a request is not cut off are unread when another client waits. The request has
+// arrived and must be served.
+TEST(ClientServer, ServesARequestThatIsHeldBackWhenUnreadBytesTellItsEnd) {
+  ClientServerFixture fixture(2);
+  fixture.max_end_check_time = std::chrono::hours(1);
+  const std::string next = Post("next");
+  auto held_back = fixture.Connect();
+  held_back->Write(Post("one") + next.substr(0, 1));
+  fixture.RunReadyHandlers();
+  auto new_client = fixture.Connect();
+  held_back->Write(next.substr(1));
+  fixture.RunUntil([&] { return !fixture.requests.empty() || held_back->IsReadable(); });
+  ASSERT_EQ(fixture.requests.size(), 1u);
+  EXPECT_EQ(fixture.requests[0].second.body(), "one");
+}
+
+// A request is followed by the first part of a request line that never ends. If unread bytes put off the end
+// of the wait for the rest of that line for as long as there are any, the request would be held for ever.
+TEST(ClientServer, RejectsARequestThatIsFollowedByALineWithoutEnd) {
+  ClientServerFixture fixture;
+  fixture.max_end_check_time = std::chrono::milliseconds(1);
+  Flood flood(fixture, {"request line behind a request", Post("one") + "GET /", "x"}, 1);
+  fixture.RunReadyHandlers();
+  std::this_thread::sleep_for(fixture.max_end_check_time);
+  ASSERT_TRUE(flood.RunUntil([&] { return flood.client(0).IsReadable(); }, kMaxFloodHandlers));
+  EXPECT_EQ(flood.client(0).Read().status(), 400);
+  EXPECT_TRUE(fixture.requests.empty());
+}
+
 // A client has sent the rest of a large request, which is more than one read returns, when the connection
 // limit is reached. If its session were evicted before all of it has been read, a request that has arrived
 // would get no response.
