Answer a request with 400 whose cut-off rest comes while it runs

Cause: the bytes behind a request were judged only at the moment in which it was complete. Change: before a response is written, what has been read since is judged by the same rule, and where it cannot begin another request the client gets 400 and the connection closes. Nothing is waited for, and no system call was added. Evidence: RequestParser.RejectsARequestWhoseCutOffRestComesWhileItRuns failed on the sources before (200) and passes now. That the backend has run the cut request cannot be undone.

--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -53,6 +53,10 @@
 
 void ClientSession::Reply(Response&& response) {
   if (state_ != State::kAwaitingResponse) return;
+  // The rest of a request that is cut off may have come later. Its client must not take it for served.
+  if (CheckRequestEnd(BytesBehindRequest()) == RequestEnd::kDoubtful) {
+    return RejectMalformed(http::error::bad_content_length);
+  }
   // A request that the client has already sent is served before the connection is closed.
   bool last_response = owner_->ClosesAfterResponses() && !HasUnprocessedBytes();
   if (reading_stopped_ && buffer_.size() == 0) last_response = true;
@@ -288,7 +292,7 @@
 // Guards against forwarding a request that is cut off by a length that is too small. All bytes that have
 // arrived by now are taken into account, also those still in the socket.
 void ClientSession::CheckEnd() {
-  std::string_view following(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+  std::string_view following = BytesBehindRequest();
   if (following.empty() && HasUnreadBytesBehindRequest()) return HoldBack();
   switch (CheckRequestEnd(following)) {
     case RequestEnd::kTrusted: return PassOn();
@@ -297,6 +301,10 @@
   }
 }
 
+std::string_view ClientSession::BytesBehindRequest() const {
+  return {static_cast<const char*>(buffer_.data().data()), buffer_.size()};
+}
+
 // A short read has just emptied the socket, which spares the system call.
 bool ClientSession::HasUnreadBytesBehindRequest() { return !read_emptied_socket_ && HasUnreadBytes(socket_); }
 
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "net/client_response.h"
 #include "net/clock.h"
@@ -87,7 +88,8 @@
   // Returns the request that has arrived. Must be called once for each OnRequest, during that call.
   ClientRequest TakeRequest() { return parser_->release(); }
 
-  // Answers the current request; does nothing if there is none. Starts writing the response immediately.
+  // Answers the current request; does nothing if there is none. Starts writing the response immediately. The
+  // response is an error in its place if bytes that have come since tell that the request is cut off.
   void Reply(Response&& response);
 
   // Whether the client has closed the connection or its sending side, even if data is still unread. Queries
@@ -159,6 +161,7 @@
   void OnRequestComplete();
   void CheckEnd();
   void HoldBack();
+  std::string_view BytesBehindRequest() const;
   bool HasUnreadBytesBehindRequest();
   void PassOn();
   void RejectMalformed(error_code error);
--- a/tests/net/request_parser_test.cpp
+++ b/tests/net/request_parser_test.cpp
@@ -237,6 +237,22 @@
   EXPECT_EQ(backend.requests.count(), 0);
 }
 
+// The rest of a request that is cut off comes in a segment of its own, while a backend runs the request. The
+// client must get an error: if it got the backend's response, it would take its request for served.
+TEST(RequestParser, RejectsARequestWhoseCutOffRestComesWhileItRuns) {
+  Event released;
+  StubBackend backend([&](const HttpMessage&, TestConnection&) { return released.Wait(), OkResponse("x"); });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  auto client = fixture.gateway->Connect(), other = fixture.gateway->Connect();
+  client->Write(UnterminatedHead() + "Content-Length: 4\r\n\r\nbody");
+  EXPECT_TRUE(backend.requests.Wait(1));
+  client->Write("}");
+  for (int i = 0; i < 2; ++i) Exchange(*other, kReadinessRequest);  // the byte has been read by then
+  released.Add();
+  EXPECT_EQ(client->Read().status(), 400);
+  EXPECT_TRUE(client->AwaitEnd());
+}
+
 // A client sends two requests at once, and a segment ends at any place in the second one, also before or
 // within an empty line ahead of it. Both are valid and have to be served. The first one is answered before
 // the rest is sent where the bytes so far are not taken for the rest of a body: empty lines, or a whole
