--- a/tests/net/backend_connection_pool_test.cpp
+++ b/tests/net/backend_connection_pool_test.cpp
@@ -105,15 +105,13 @@
   uint64_t attempt = fixture.Send(1, "request");
   fixture.RunUntil([&] { return backend.HasPending(); });
   auto connection = backend.Accept();
-  pollfd ready{connection->fd(), POLLIN, 0};
-  fixture.RunUntil([&] { return poll(&ready, 1, 0) > 0; });
+  fixture.AwaitReadable(*connection);
   connection->Write(OkResponse("x"));  // unread when the attempt is cancelled
   EXPECT_EQ(fixture.pool.Cancel(attempt), CancelResult::kMayHaveRun);
   attempt = fixture.Send(1, "request");
   fixture.RunUntil([&] { return backend.HasPending(); });
   connection = backend.Accept();
-  ready.fd = connection->fd();
-  fixture.RunUntil([&] { return poll(&ready, 1, 0) > 0; });
+  fixture.AwaitReadable(*connection);
   connection->Reset();
   fixture.RunUntil([&] { return fixture.results.size() == 1; });
   EXPECT_EQ(fixture.results[0].result, CallResult::kReset);
@@ -136,8 +134,7 @@
     if (change == "drained now") {
       fixture.RunUntil([&] { return backend.HasPending(); });
       auto connection = backend.Accept();
-      pollfd ready{connection->fd(), POLLIN, 0};
-      fixture.RunUntil([&] { return poll(&ready, 1, 0) > 0 || !fixture.results.empty(); });
+      fixture.RunUntil([&] { return connection->IsReadable() || !fixture.results.empty(); });
       continue;  // the grace may be over on a slow machine, so that both outcomes are correct
     }
     fixture.RunUntil([&] { return fixture.results.size() == 1; });
--- a/tests/net/discovery_client_test.cpp
+++ b/tests/net/discovery_client_test.cpp
@@ -1,7 +1,5 @@
 #include "net/discovery_client.h"
 
-#include <poll.h>
-
 #include <chrono>
 #include <cstdlib>
 #include <functional>
@@ -43,8 +41,7 @@
   }
   // Waits for the next poll or watch of the client and returns its head.
   std::string ReceivePoll() {
-    pollfd ready{connection->fd(), POLLIN, 0};
-    RunUntil([&] { return poll(&ready, 1, 0) > 0; });
+    RunUntil([this] { return connection->IsReadable(); });
     return connection->Read().head;
   }
   // Answers with a list of one endpoint, and waits until the client has accepted or rejected it.
