Serve a response without a length that ends in order

Cause: BackendConnection::OnReadError took an orderly end for the end of a response only where its status was not 200. Change: an orderly end completes a response of any status that has neither a length nor chunks. A reset, and an end within a head, a stated length or a chunk, complete nothing, as before. Idle backend connections and discovery are unchanged.

--- a/src/net/attempt_result.h
+++ b/src/net/attempt_result.h
@@ -13,7 +13,7 @@
 enum class ResponseFault {
   kNone,        // it could be used, or none was received
   kMalformed,   // it is not HTTP, or exceeds a limit
-  kTruncated,   // the connection ended within it, or it has no length
+  kTruncated,   // the connection ended within it, or was reset before its end
   kEndInDoubt,  // bytes follow it that may belong to its body (ResponseEndCheck)
 };
 
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -161,13 +161,14 @@
                           });
 }
 
-// A response that is delimited only by the end of the connection (RFC 9112, 6.3) cannot be distinguished from
-// a truncated one, so it never counts as a success.
+// The orderly end of the connection completes a response that has neither a length nor chunked coding (RFC
+// 9112, 6.3). Guards against serving a truncated response: a reset is no such end, and an end within the
+// head, a stated length or a chunk completes nothing.
 void BackendConnection::OnReadError(error_code error) {
   if (response_->IsComplete()) return FailResponse(ResponseFault::kEndInDoubt);
   bool started = response_->HasStarted() || buffer_.size() > 0;
-  bool complete = error == asio::error::eof && IsRequestWritten() && !response_->FeedEnd();
-  if (complete && response_->message().result() != http::status::ok) return OnResponse(false);
+  bool ended_orderly = error == asio::error::eof;
+  if (ended_orderly && IsRequestWritten() && !response_->FeedEnd()) return OnResponse(false);
   FailResponse(started ? ResponseFault::kTruncated : ResponseFault::kNone);
 }
 
--- a/tests/net/backend_connection_test.cpp
+++ b/tests/net/backend_connection_test.cpp
@@ -41,6 +41,11 @@
     while (io.poll() > 0) {
     }
   }
+  // Closes the backend's side in order. A close over the unread request would reset the connection.
+  void CloseInOrder() {
+    backend->Receive();
+    backend->Close();
+  }
   ManualListener listener;
   std::unique_ptr<TestConnection> backend;
 };
@@ -212,6 +217,95 @@
   }
 }
 
+// A response without a length is complete when its connection ends in order (review case 3). It was taken for
+// truncated, so that the result of a request that had run was thrown away. Its parts may come in one read or
+// in several, with the end or before it, and the backend may keep its own side open.
+TEST(BackendConnection, UsesAResponseWithoutALengthThatEndsWithTheConnection) {
+  enum class End { kClose, kHalfClose };
+  const std::string large(kMaxBodyBytes, 'b');
+  for (std::string head : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n",
+                           "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/plain\r\n\r\n",
+                           "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"}) {
+    for (const std::string& body : {std::string(), std::string("body"), large}) {
+      for (End end : {End::kClose, End::kHalfClose}) {
+        for (bool in_parts : {false, true}) {
+          ExchangeFixture exchange;
+          exchange.backend->Write(head);
+          if (in_parts) exchange.RunReadyHandlers();
+          exchange.backend->Write(body);
+          if (in_parts) exchange.RunReadyHandlers();
+          EXPECT_TRUE(exchange.results.empty()) << head << body.size();
+          end == End::kClose ? exchange.CloseInOrder() : exchange.backend->HalfClose();
+          const AttemptResult& result = exchange.AwaitResult();
+          EXPECT_EQ(result.result, CallResult::kOk) << head << body.size();
+          EXPECT_EQ(result.body, body) << head;
+          exchange.RunUntil([&] { return exchange.pool.connections() == 0; });
+        }
+      }
+    }
+  }
+}
+
+// Guards against serving a part of a response as the whole. A reset ends no response, and the end of the
+// connection completes none that states its length, is within a chunk or a head, or exceeds the limit.
+TEST(BackendConnection, FailsATruncatedResponseHoweverItsConnectionEnds) {
+  enum class End { kClose, kReset };
+  const std::string kInterimResponse = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::map<std::string, std::string> cut_by_any_end = {
+      {"length", ok + "Content-Length: 9\r\n\r\nhalf"},
+      {"length without a body", ok + "Content-Length: 9\r\n\r\n"},
+      {"chunk", ok + "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf"},
+      {"between chunks", ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"},
+      {"before the last line of a chunked body", ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n"},
+      {"status line", "HTTP/1.1 200"},
+      {"head before its length", ok},
+      {"head within a field", ok + "Content-Le"},
+      {"head before its empty line", ok + "Content-Type: text/plain\r\n\r"},
+      {"interim response alone", kInterimResponse},
+      {"no byte", ""}};
+  for (const auto& [name, bytes] : cut_by_any_end) {
+    for (End end : {End::kClose, End::kReset}) {
+      ExchangeFixture exchange;
+      exchange.backend->Write(bytes);
+      exchange.RunReadyHandlers();
+      end == End::kClose ? exchange.CloseInOrder() : exchange.backend->Reset();
+      const AttemptResult& result = exchange.AwaitResult();
+      EXPECT_EQ(result.result, CallResult::kReset) << name;
+      bool began = !bytes.empty() && bytes != kInterimResponse;
+      EXPECT_EQ(result.fault, began ? ResponseFault::kTruncated : ResponseFault::kNone) << name;
+      EXPECT_EQ(result.body, "") << name;
+    }
+  }
+  for (const std::string& status : {ok, std::string("HTTP/1.1 500 No\r\n")}) {
+    ExchangeFixture exchange;
+    exchange.backend->Write(status + "\r\nno length");
+    exchange.RunReadyHandlers();
+    exchange.backend->Reset();
+    EXPECT_EQ(exchange.AwaitResult().result, CallResult::kReset) << status;
+    EXPECT_EQ(exchange.AwaitResult().fault, ResponseFault::kTruncated) << status;
+  }
+  ExchangeFixture exchange;
+  exchange.backend->Write(ok + "\r\n" + std::string(kMaxBodyBytes + 1, 'b'));
+  exchange.CloseInOrder();
+  EXPECT_EQ(exchange.AwaitResult().fault, ResponseFault::kMalformed) << "over the limit";
+}
+
+// A response without a length and the end of its connection have arrived when the process resumes after a
+// stall in which the timeout expired. Both have to be read before the timeout is handled.
+TEST(BackendConnection, UsesAResponseWithoutALengthThatEndedBeforeTheTimeout) {
+  constexpr double kTimeoutS = 2;
+  for (bool body_read_before : {false, true}) {
+    ExchangeFixture exchange(kTimeoutS);
+    exchange.backend->Write("HTTP/1.1 200 OK\r\n\r\nbody");
+    if (body_read_before) exchange.RunReadyHandlers();
+    exchange.backend->HalfClose();
+    std::this_thread::sleep_for(Seconds(kTimeoutS));
+    EXPECT_EQ(exchange.AwaitResult().result, CallResult::kOk) << body_read_before;
+    EXPECT_EQ(exchange.AwaitResult().body, "body") << body_read_before;
+  }
+}
+
 // A backend responds and closes the connection at once. The end of the connection is no byte behind the
 // response, which is whole.
 TEST(BackendConnection, UsesAResponseThatIsFollowedByTheEndOfTheConnection) {
