Limit the fields of a message to 100

Cause: a head was limited by its bytes alone, and a parsed field takes some twenty times the four bytes of the shortest one. Change: a message may have 100 fields, trailers included. A request with more is answered 431 before it is parsed, a response is malformed.

--- a/src/net/http_framing.h
+++ b/src/net/http_framing.h
@@ -6,6 +6,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 #include <cstddef>
+#include <iterator>
 #include <string_view>
 
 #include "net/http_headers.h"
@@ -16,6 +17,9 @@
 inline constexpr size_t kMaxBodyBytes = size_t{64} * 1024;
 // The limit for the start line and the fields of a message, and for the framing of one chunk.
 inline constexpr size_t kMaxHeaderBytes = size_t{16} * 1024;
+// The limit for the fields of a message, trailers included. A parsed field takes many times the memory of its
+// shortest line.
+inline constexpr size_t kMaxFields = 100;
 inline constexpr size_t kMaxEmptyLineBytes = 64;  // before a request
 
 // Returns the limit for a body with its framing (chunk sizes, extensions, line ends and trailers). A chunk of
@@ -40,9 +44,16 @@
          boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
 }
 
+// Whether a parsed message has more than kMaxFields fields. Trailers count, since the parser adds them to the
+// fields of the head.
+template <typename Fields>
+bool HasTooManyFields(const Fields& message) {
+  return std::distance(message.begin(), message.end()) > static_cast<std::ptrdiff_t>(kMaxFields);
+}
+
 // Checks the first bytes of a message before it is parsed. Sets `*complete` to whether they contain the whole
-// head. Returns header_limit for a head longer than kMaxHeaderBytes, and bad_obs_fold for a line that
-// continues the preceding line (RFC 9112, 5.2).
+// head. Returns header_limit for a head longer than kMaxHeaderBytes or with more than kMaxFields fields, and
+// bad_obs_fold for a line that continues the preceding line (RFC 9112, 5.2).
 error_code CheckHead(std::string_view bytes, bool* complete);
 
 }  // namespace gateway::net
--- a/src/net/message_parser.h
+++ b/src/net/message_parser.h
@@ -14,8 +14,9 @@
 namespace gateway::net {
 
 // Adds what Beast's parser does not limit: the head is checked before it is parsed (CheckHead), its framing
-// must be unambiguous, and the framing of a chunked body is limited. Without that limit a peer could send a
-// body of 64 KiB as 1 GB, with a long extension in each chunk of one byte (RFC 9112, 7.1.1).
+// must be unambiguous, and the framing of a chunked body and its trailers are limited. Without these limits a
+// peer could send a body of 64 KiB as 1 GB, with a long extension in each chunk of one byte (RFC
+// 9112, 7.1.1), and trailers that take many times the memory of their bytes.
 //
 // `Parser` is a Beast parser with a string body. It must not be set to eager: Beast 1.74 would then continue
 // with a body that exceeds its limit if bytes of it arrive together with the head, and would reserve memory
@@ -75,6 +76,7 @@
     if (encoded_body_bytes_ > MaxEncodedBodyBytes(parser_->get().body().size())) {
       return http::error::body_limit;
     }
+    if (!error && parser_->is_done() && HasTooManyFields(parser_->get())) return http::error::header_limit;
     return error;
   }
 
--- a/tests/net/message_parser_test.cpp
+++ b/tests/net/message_parser_test.cpp
@@ -90,5 +90,33 @@
   EXPECT_TRUE(long_extension->is_done());
 }
 
+// Returns `count` of the shortest fields.
+std::string ShortFields(size_t count) {
+  std::string fields;
+  for (size_t i = 0; i < count; ++i) fields.append("a:\r\n");
+  return fields;
+}
+
+// A peer sends very many short fields, whose parsed form takes some twenty times the memory of their bytes,
+// and then the process passes its memory limit. The most fields that are allowed have to be accepted.
+TEST(MessageParser, RefusesVeryManyFields) {
+  for (size_t fields : {kMaxFields - 1, kMaxFields, size_t{3900}}) {
+    bool refused = fields >= kMaxFields;  // the heads have a field of their own
+    RequestMessageParser head(kMaxBodyBytes), trailers(kMaxBodyBytes);
+    const std::string field = "Content-Length: 0\r\n";
+    error_code head_error = FeedInReads("POST / HTTP/1.1\r\n" + field + ShortFields(fields) + "\r\n", &head);
+    EXPECT_EQ(head_error, refused ? http::error::header_limit : error_code()) << fields;
+    EXPECT_EQ(head->is_done(), !refused) << fields;
+    const std::string coding = "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+    error_code trailer_error =
+        FeedInReads("POST / HTTP/1.1\r\n" + coding + ShortFields(fields) + "\r\n", &trailers);
+    EXPECT_EQ(trailer_error, refused ? http::error::header_limit : error_code()) << fields;
+    ResponseMessageParser response(kMaxBodyBytes);
+    error_code response_error =
+        FeedInReads("HTTP/1.1 200 OK\r\n" + field + ShortFields(fields) + "\r\n", &response);
+    EXPECT_EQ(response_error, refused ? http::error::header_limit : error_code()) << fields;
+  }
+}
+
 }  // namespace
 }  // namespace gateway::net
