Bound the table of tenants

Cause: TenantTable forgot a name by its age alone, and 125,000 new ones came in a second. Change: the table holds an eighth of memory_mb. When it is full, a new name displaces the least recently used one, of those that were never admitted first (segmented LRU); what is in flight stays. Rejected names so displace each other, and no customer that has used its quota. The ceiling of a displaced tenant is not refilled by it.

--- a/src/net/connection_limits.cpp
+++ b/src/net/connection_limits.cpp
@@ -17,6 +17,9 @@
 // Per client, the request, its copy for the backend and the response are kept in memory.
 constexpr double kMaxMbPerClient = 3.0 * (kMaxBodyBytes + kMaxHeaderBytes) / kBytesPerMb;
 
+constexpr double kTenantMemoryShare = 0.125;
+constexpr double kBytesPerTenant = 512;  // with its place in the table
+
 }  // namespace
 
 size_t MaxClientConnections(const config::GatewayConfig& config) {
@@ -29,4 +32,8 @@
   return static_cast<size_t>((config.max_sockets - kReservedDescriptors) * (1 - kClientDescriptorShare));
 }
 
+size_t MaxTenants(const config::GatewayConfig& config) {
+  return static_cast<size_t>(config.max_memory_mb * kBytesPerMb * kTenantMemoryShare / kBytesPerTenant);
+}
+
 }  // namespace gateway::net
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -55,6 +55,12 @@
   return system.count() - ToSeconds(Clock::now().time_since_epoch());
 }
 
+policy::Settings PolicySettings(const config::GatewayConfig& config) {
+  policy::Settings settings = config.settings;
+  settings.max_tenants = MaxTenants(config);
+  return settings;
+}
+
 Response StatusResponse(http::status status) {
   Response response;
   response.status = static_cast<int>(status);
@@ -100,7 +106,7 @@
     counter_->Start();
   }
   EndpointList cached = ParseCachedList(config, &endpoint_ids_);
-  policy_.emplace(config.settings, config.seed, PolicyTimeS(Clock::now()), &actions_);
+  policy_.emplace(PolicySettings(config), config.seed, PolicyTimeS(Clock::now()), &actions_);
   cached.notified_at = Clock::now();
   OnEndpointList(cached, EndpointUpdateKind::kCached);
   server_.Listen(config.listen_address);
--- a/src/policy/admission_policy.cpp
+++ b/src/policy/admission_policy.cpp
@@ -233,6 +233,7 @@
   void Charge(Tenant* tenant, InFlightRequest* request, bool within_quota) {
     double cost_units = request->request.cost_units;
     request->within_quota = within_quota;
+    tenants_.RecordAdmission(tenant);
     tenant->quota.ChargeCeiling(cost_units);
     if (!tenant->quota.HasRateQuota()) return;
     if (within_quota) {
--- a/src/policy/settings.h
+++ b/src/policy/settings.h
@@ -71,6 +71,7 @@
   // Load, as a multiple of its present capacity, at which a backend in warm-up collapses.
   double overload_multiple = 0;
   double discovery_poll_interval_s = 0;
+  size_t max_tenants = 65536;  // whose quotas are kept, save busy ones; from the gateway's memory limit
   std::vector<ClassSettings> classes;
   std::vector<PlanSettings> plans;
 };
--- a/src/policy/tenant.h
+++ b/src/policy/tenant.h
@@ -2,7 +2,9 @@
 #ifndef GATEWAY_POLICY_TENANT_H_
 #define GATEWAY_POLICY_TENANT_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <list>
 #include <unordered_map>
 #include <vector>
 
@@ -30,6 +32,11 @@
   void Reserve(double cost_units);
   void ReleaseReservation(double cost_units);
   bool HasCallPending() const { return usage_call_pending || concurrency_call_pending; }
+  // Whether something that has not ended yet refers to the tenant, so that it must stay in the table.
+  bool IsBusy() const {
+    return HasCallPending() || concurrency_report_deferred || !waiting.empty() ||
+           concurrency.attempts_in_flight() != 0;
+  }
 
   uint64_t id;
   int plan_index;
@@ -43,9 +50,27 @@
   bool concurrency_call_pending = false;
   bool concurrency_report_deferred = false;  // waits for the end of the pause between calls
   std::vector<WaitingRequest> waiting;       // in order of arrival, which is the order of decision
+  // Position in the table's order of use, for the table alone.
+  bool has_been_admitted = false;
+  std::list<uint64_t>::iterator use_position{};
 };
 
-// Owns the tenants. A reference to a tenant stays valid until RemoveIdle() removes it.
+// Owns the tenants. A reference to a tenant stays valid until RemoveIdle() or RecordRequest() removes it;
+// RecordRequest() never removes the tenant that it returns.
+//
+// The number of tenants is bounded, since a client can name ever new ones. Rule (segmented LRU): when the
+// table is full, a new tenant takes the place of the one that was used least recently among those of which no
+// request has been admitted, and only if there is none, among the others. So names that are rejected never
+// displace a tenant that has used its quota here, and a client has to use quotas of Settings::max_tenants
+// names to do so.
+//
+// What a displaced tenant loses: its bucket is full again when it returns, as that of a new tenant, and the
+// usage of the other gateways has to be read again. Its ceiling, which is a hard limit, is not refilled by
+// that: while it is unknown who was displaced, the ceilings of new tenants fill from zero from the last
+// request of the displaced tenants on.
+//
+// Invariant: there are at most Settings::max_tenants tenants that are not busy (Tenant::IsBusy), save those
+// that were busy when the table was full.
 class TenantTable {
  public:
   // Shortest time without requests after which a tenant may be removed.
@@ -54,7 +79,8 @@
   // `settings` must outlive this object.
   TenantTable(const Settings& settings, double gateway_started_at_s);
 
-  // Records an arriving request and returns its tenant, which is created if it is new.
+  // Records an arriving request and returns its tenant, which is created if it is new. A full table forgets
+  // another tenant for it.
   Tenant& RecordRequest(const Request& request, double now_s);
   // Returns null for an unknown tenant.
   Tenant* Find(uint64_t tenant_id) {
@@ -62,17 +88,30 @@
     return it == tenants_.end() ? nullptr : &it->second;
   }
 
-  // Removes tenants that were idle long enough for their quotas to be in the initial state. This
-  // bounds the memory.
+  // Records that a request of the tenant has been admitted and charged to its quotas.
+  void RecordAdmission(Tenant* tenant);
+
+  // Removes tenants that were idle long enough for their quotas to be in the initial state.
   void RemoveIdle(double now_s);
 
   // Updates the within-quota shares with the result of a request that waited for the counter.
   void RecordWaitingResult(Tenant* tenant, bool within_quota);
 
+  size_t size() const { return tenants_.size(); }
+
  private:
+  using TenantIds = std::list<uint64_t>;  // the least recently used tenant first
+
+  Tenant& Add(const Request& request, double now_s);
+  void MakeRoom();
+  bool EvictLeastRecentlyUsed(TenantIds* ids, int* looks_left);
+  TenantIds& OrderOf(const Tenant& tenant) { return tenant.has_been_admitted ? admitted_ : not_admitted_; }
+  void MoveToMostRecentlyUsed(Tenant* tenant, TenantIds* from);
+
   const Settings& settings_;
-  const double gateway_started_at_s_;
   std::unordered_map<uint64_t, Tenant> tenants_;
+  TenantIds not_admitted_, admitted_;       // by whether a request of the tenant has been admitted
+  double ceilings_known_from_s_;            // the last request of all tenants that a full table has forgotten
   std::vector<double> within_quota_share_;  // by plan, initial value for new tenants
   double idle_checked_at_s_ = 0;
 };
