Reject an id that comes again after its client has left

Cause: a client's leaving cancels its attempts, and with the last one its id was forgotten, although the attempt may have run. An id that no backend can have run is served, as is one whose response was written (an earlier test). ClientLeft.ItsRequestIdDoesNotRunAgain failed with the memory taken out (503 and 502, up to 3 arrivals) and passes now; ItsRequestIdIsServedIfNoBackendHasHadIt guards the other side.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -317,7 +317,7 @@
   std::optional<uint32_t> id = requests_.FindUnanswered(connection);
   if (!id) return;
   CountEndedRequest(RejectionLog::Cause::kClientLeft, *id);
-  requests_.MarkAnswered(*id);
+  requests_.MarkClientLeft(*id);
   DropUnsentAttempts(*id);
   NotifyPolicy([&](AdmissionPolicy& policy, double now_s, Actions* actions) {
     policy.OnClientGone(now_s, *id, actions);
--- a/src/net/in_flight_requests.cpp
+++ b/src/net/in_flight_requests.cpp
@@ -1,6 +1,7 @@
 #include "net/in_flight_requests.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gateway::net {
 
@@ -32,8 +33,9 @@
   return it->second;
 }
 
-bool InFlightRequests::IsClientRequestIdInUse(std::string_view client_request_id) const {
-  return client_request_ids_.count(std::string(client_request_id)) != 0;
+bool InFlightRequests::IsClientRequestIdInUse(std::string_view client_request_id) {
+  std::string id(client_request_id);
+  return client_request_ids_.count(id) != 0 || abandoned_ids_.Contains(id, Clock::now());
 }
 
 void InFlightRequests::MarkAnswered(uint32_t id) {
@@ -42,6 +44,11 @@
   unanswered_by_connection_.erase(request.connection_id);
 }
 
+void InFlightRequests::MarkClientLeft(uint32_t id) {
+  requests_.at(id).client_left = true;
+  MarkAnswered(id);
+}
+
 void InFlightRequests::ResetPolicyTimerGrace(uint32_t id) {
   InFlightRequest* request = Find(id);
   if (request == nullptr) return;
@@ -51,9 +58,12 @@
 void InFlightRequests::EraseIfComplete(uint32_t id) {
   auto it = requests_.find(id);
   if (it == requests_.end() || id == outcome_request_id_) return;
-  const InFlightRequest& request = it->second;
+  InFlightRequest& request = it->second;
   if (!request.answered || request.HasAttemptInFlight()) return;
   client_request_ids_.erase(request.client_request_id);
+  if (request.client_left && request.may_have_run) {
+    abandoned_ids_.Remember(std::move(request.client_request_id), Clock::now());
+  }
   requests_.erase(it);
 }
 
--- a/src/net/in_flight_requests.h
+++ b/src/net/in_flight_requests.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "net/clock.h"
+#include "net/recent_request_ids.h"
 #include "net/unread_bytes_grace.h"
 
 namespace gateway::net {
@@ -39,6 +40,7 @@
   Clock::time_point deadline;  // for the final response
   std::vector<InFlightAttempt> attempts;
   bool answered = false;      // the final response was sent, or the client disconnected
+  bool client_left = false;   // the client disconnected before its response
   bool may_have_run = false;  // a backend may have executed an attempt that has ended
   bool idempotent = false;
 
@@ -61,12 +63,15 @@
   bool empty() const { return requests_.empty(); }
   bool HasUnanswered() const { return !unanswered_by_connection_.empty(); }
 
-  // Whether a request with this client request id is in the table. The id stays in use until the request is
-  // removed, which may be after its response if an attempt is still in flight: a backend that received two
-  // requests with the same id would treat the second as a repetition of the first.
-  bool IsClientRequestIdInUse(std::string_view client_request_id) const;
+  // Whether a request with this client request id is in the table, or was until recently, may have run and
+  // was never answered because its client left. A request is in the table until it is removed, which may be
+  // after its response if an attempt is still in flight. A backend that received two requests with the same
+  // id would treat the second as a repetition of the first.
+  bool IsClientRequestIdInUse(std::string_view client_request_id);
 
   void MarkAnswered(uint32_t id);
+  // Marks a request as answered whose client has disconnected.
+  void MarkClientLeft(uint32_t id);
 
   // Must be called when a policy timer of the request has been handled. Does nothing if there is no such
   // request.
@@ -86,6 +91,7 @@
   std::unordered_map<uint32_t, InFlightRequest> requests_;
   std::unordered_map<uint64_t, uint32_t> unanswered_by_connection_;
   std::unordered_set<std::string> client_request_ids_;
+  RecentRequestIds abandoned_ids_;  // of requests that may have run and whose clients left
   uint32_t last_id_ = kNoRequest;
   uint32_t outcome_request_id_ = kNoRequest;
 };
--- a/tests/net/client_left_test.cpp
+++ b/tests/net/client_left_test.cpp
@@ -209,5 +209,46 @@
   for (bool reset : {false, true}) ExpectNoRetryAfterAFailedAttempt(reset);
 }
 
+// A client leaves while a backend runs its request, and the same id comes again on another connection, also
+// after the attempt was cancelled (picture (c) of "What the review found"). Its request must not run twice.
+TEST(ClientLeft, ItsRequestIdDoesNotRunAgain) {
+  for (bool reset : {false, true}) {
+    for (std::string request_class : {"quote", "save-scenario", "send-lead"}) {
+      Event closed;
+      StubBackend backend(NeverResponds(&closed));
+      GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+      const std::string request = MakeRequest(request_class);
+      auto client = fixture.gateway->Connect();
+      client->Write(request);
+      backend.requests.Wait();
+      Disconnect(*client, reset);
+      closed.Wait();  // the attempt is cancelled
+      HttpMessage again = Exchange(*fixture.gateway->Connect(), request);
+      EXPECT_EQ(again.status(), 400) << request_class << reset;
+      EXPECT_EQ(backend.requests.count(), 1) << request_class << reset;
+    }
+  }
+}
+
+// A client sends its request once more, under the same id, if the closing of an idle connection crosses it.
+// As no backend has had the request, it has to be served.
+TEST(ClientLeft, ItsRequestIdIsServedIfNoBackendHasHadIt) {
+  StubBackend backend(RespondsWith(OkResponse("x")));
+  json config = ConfigJson(0, 0);
+  config["settings"]["limits"]["connect-timeout-s"] = 20.0;
+  ManualListener unreachable(0);
+  auto filler = TestConnection::ConnectTo(unreachable.port());  // fills the listener's accept queue
+  GatewayFixture fixture(json::array({EndpointEntry("s1", unreachable.port())}), config);
+  const std::string request = MakeRequest("send-lead", 1, 60000);
+  auto client = fixture.gateway->Connect();
+  client->Write(request);
+  AwaitConnecting(unreachable.port());
+  client->Close();
+  AwaitConnecting(unreachable.port(), false);
+  fixture.discovery.Set(json::array({EndpointEntry("s2", backend.port())}));
+  EXPECT_TRUE(fixture.discovery.AwaitApplied());
+  EXPECT_EQ(Exchange(*fixture.gateway->Connect(), request).status(), 200);
+}
+
 }  // namespace
 }  // namespace gateway::net
