Send nothing on connections to an earlier process of a backend

Cause: the pool knew a backend by name and address; a later start did not reach it. A name that is removed and listed again while an attempt runs got the old connection back as well (by reading). Change: connections belong to an incarnation of their backend, which changes with its address, a later start, and when it is listed again after a removal. Idle ones of the one before are closed, requests not completely written end as never run, and no connection of it is used again. Written requests may still be answered. An earlier start or 0 is the same process. Evidence: BackendConnectionPool.SendsNothingOnConnectionsOfAnEarlierProcess failed with the old rule put back and passes now. The others that guard it: EndsARequestThatIsPartlyWrittenToAnEarlierProcess, ReusesConnectionsOfAProcessThatIsListedAgain and the form "restarted" of SendsNothingIfTheEndpointListChangesWhileConnecting.

--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -8,11 +8,12 @@
 using policy::CallResult;
 
 BackendConnection::BackendConnection(asio::io_context& io, Owner* owner, const Timeouts& timeouts,
-                                     uint32_t backend, const tcp::endpoint& address)
+                                     uint32_t backend, uint64_t incarnation, const tcp::endpoint& address)
     : io_(io),
       owner_(owner),
       timeouts_(timeouts),
       backend_(backend),
+      incarnation_(incarnation),
       address_(address),
       socket_(io),
       timer_(io) {}
@@ -46,6 +47,13 @@
   Close();
 }
 
+// Posted, because the caller's owner may be applying an endpoint list, which must be in force first.
+void BackendConnection::FailUnlessWritten() {
+  asio::post(io_, [self = shared_from_this(), this, attempt = attempt_.id] {
+    if (IsInFlight(attempt) && !IsRequestWritten()) Fail(CallResult::kConnectFailed);
+  });
+}
+
 void BackendConnection::Close() {
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
@@ -105,8 +113,8 @@
 
 void BackendConnection::OnConnected(error_code error) {
   // The connection may be established too late: the attempt may have timed out, or discovery may since have
-  // listed the backend as gone, at another address, or as draining for longer than its grace. Without this
-  // check the request would be sent to a backend that must not receive it.
+  // listed the backend as gone, at another address, as restarted, or as draining for longer than its grace.
+  // Without this check the request would be sent to a backend that must not receive it.
   if (error || Clock::now() >= attempt_deadline_ || !owner_->MaySend(*this))
     return Fail(CallResult::kConnectFailed);
   if (!attempt_.still_wanted()) return Fail(CallResult::kNeverSent);
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -59,7 +59,7 @@
   class Owner {
    public:
     // Called when a connection has been established. Returns whether a new request may still be sent to its
-    // backend at its address.
+    // backend, and to the incarnation of it that the connection was made to.
     virtual bool MaySend(const BackendConnection& connection) const = 0;
     // Called when the attempt has ended or been cancelled, before the connection is closed or becomes idle
     // and before the attempt's completion runs.
@@ -82,14 +82,15 @@
     Clock::duration idle{};  // from the last response until the connection is closed
   };
 
+  // `incarnation` is the owner's number for the process that the backend is when the connection is made.
   BackendConnection(asio::io_context& io, Owner* owner, const Timeouts& timeouts, uint32_t backend,
-                    const tcp::endpoint& address);
+                    uint64_t incarnation, const tcp::endpoint& address);
   ~BackendConnection() { Close(); }
   BackendConnection(const BackendConnection&) = delete;
   BackendConnection& operator=(const BackendConnection&) = delete;
 
   uint32_t backend() const { return backend_; }
-  const tcp::endpoint& address() const { return address_; }
+  uint64_t incarnation() const { return incarnation_; }
 
   // Starts an attempt. The connection must be new or idle. The completion runs exactly once, never within
   // this call, unless Abort ends the attempt.
@@ -98,6 +99,10 @@
   // Ends the attempt without calling its completion, and closes the connection.
   void Abort();
 
+  // Ends the attempt with kConnectFailed, in a later handler, unless its request has been completely written
+  // by then.
+  void FailUnlessWritten();
+
   // Closes the socket immediately; does nothing if it is already closed. The completion of an attempt does
   // not run. To cancel an attempt, call Abort.
   void Close();
@@ -144,6 +149,7 @@
   Owner* const owner_;
   const Timeouts& timeouts_;
   const uint32_t backend_;
+  const uint64_t incarnation_;
   const tcp::endpoint address_;
   tcp::socket socket_;
   asio::steady_timer timer_;  // connect timeout, then the attempt's timeout, then the idle timeout
--- a/src/net/backend_connection_pool.cpp
+++ b/src/net/backend_connection_pool.cpp
@@ -37,13 +37,27 @@
   CloseIdle();
 }
 
-void BackendConnectionPool::Update(uint32_t backend, const tcp::endpoint& address) {
+void BackendConnectionPool::Update(uint32_t backend, const tcp::endpoint& address, double started_at_s) {
   auto& b = backends_[backend];
   if (b == nullptr) b = std::make_unique<Backend>();
   b->draining = false;
-  if (b->address == address) return;
+  // An earlier start is older news, and 0 may be listed for the same process once its start is long ago.
+  bool same_process = b->address == address && started_at_s <= b->started_at_s;
   b->address = address;
-  CloseIdleConnections(b.get());
+  b->started_at_s = std::max(b->started_at_s, started_at_s);
+  if (!same_process) BeginIncarnation(backend, b.get());
+}
+
+void BackendConnectionPool::BeginIncarnation(uint32_t id, Backend* backend) {
+  backend->incarnation = ++last_incarnation_;
+  CloseIdleConnections(backend);
+  for (auto& [attempt, connection] : in_flight_) {
+    if (connection->backend() == id) connection->FailUnlessWritten();
+  }
+}
+
+bool BackendConnectionPool::IsCurrent(const BackendConnection& connection, const Backend& backend) {
+  return connection.incarnation() == backend.incarnation;
 }
 
 void BackendConnectionPool::Drain(uint32_t backend, Clock::time_point notified_at) {
@@ -109,14 +123,14 @@
 
 bool BackendConnectionPool::MaySend(const BackendConnection& connection) const {
   const Backend* b = Find(connection.backend());
-  return b != nullptr && b->address == connection.address() && AcceptsNewRequests(*b);
+  return b != nullptr && IsCurrent(connection, *b) && AcceptsNewRequests(*b);
 }
 
 void BackendConnectionPool::OnAttemptEnded(uint64_t attempt) { in_flight_.erase(attempt); }
 
 bool BackendConnectionPool::KeepIdle(std::shared_ptr<BackendConnection> connection) {
   Backend* b = Find(connection->backend());
-  if (b == nullptr || b->draining || b->address != connection->address()) return false;
+  if (b == nullptr || b->draining || !IsCurrent(*connection, *b)) return false;
   auto order = idle_order_.insert(idle_order_.end(), connection.get());
   b->idle.push_back({std::move(connection), order});
   return true;
@@ -172,7 +186,7 @@
   if (!EnsureCapacity()) return nullptr;
   ++connections_;
   BackendConnection::Owner* owner = this;
-  return std::make_shared<BackendConnection>(io_, owner, timeouts_, id, backend.address);
+  return std::make_shared<BackendConnection>(io_, owner, timeouts_, id, backend.incarnation, backend.address);
 }
 
 // Closes the connection that has been idle longest if the pool is full. Returns false if the pool is full and
--- a/src/net/backend_connection_pool.h
+++ b/src/net/backend_connection_pool.h
@@ -28,9 +28,9 @@
 // the backend of an attempt; the pool only refuses a backend that is not listed or whose drain grace is over.
 //
 // A request is sent on the most recently used idle connection of its backend. Connections are closed when
-// their backend drains, is removed or changes its address, and when they have been idle for too long. When
-// the pool is full, the connection that has been idle longest is closed. All calls must be made on the thread
-// of the io_context.
+// their backend drains, is removed, changes its address or restarts, and when they have been idle for too
+// long. When the pool is full, the connection that has been idle longest is closed. All calls must be made on
+// the thread of the io_context.
 class BackendConnectionPool final : private BackendConnection::Owner {
  public:
   // Seconds after a response during which its connection carries no further request. This guards against a
@@ -49,9 +49,14 @@
   BackendConnectionPool(const BackendConnectionPool&) = delete;
   BackendConnectionPool& operator=(const BackendConnectionPool&) = delete;
 
-  // Adds the backend, changes its address or ends its drain. Must be called when discovery lists the backend
-  // as ready.
-  void Update(uint32_t backend, const tcp::endpoint& address);
+  // Adds the backend, changes its address, begins a new incarnation of it or ends its drain. Must be called
+  // when discovery lists the backend as ready. `started_at_s` is the time of its last start, or 0 for long
+  // ago.
+  //
+  // A backend that has another address or a later start is another process. The machine of the one before may
+  // be silent, so that its connections stay open: nothing more is sent on them. Requests that are completely
+  // written may still be answered.
+  void Update(uint32_t backend, const tcp::endpoint& address, double started_at_s = 0);
   // Marks the backend as draining. No request is sent to it once the drain grace has passed since
   // `notified_at`, the time at which the gateway counts as notified, which may be earlier than the time at
   // which it read the list. Does nothing if the backend is not listed or is already draining.
@@ -97,6 +102,8 @@
   };
   struct Backend {
     tcp::endpoint address;
+    double started_at_s = 0;   // the latest that was listed
+    uint64_t incarnation = 0;  // never that of another backend or of an earlier process of this one
     bool draining = false;
     Clock::time_point no_send_after{};  // only set while the backend is draining
     std::vector<IdleConnection> idle;   // ordered by last use, the most recently used connection last
@@ -114,6 +121,8 @@
   std::shared_ptr<BackendConnection> TakeIdle(Backend* backend);
   std::shared_ptr<BackendConnection> OpenNew(uint32_t id, const Backend& backend);
   bool EnsureCapacity();
+  void BeginIncarnation(uint32_t id, Backend* backend);
+  static bool IsCurrent(const BackendConnection& connection, const Backend& backend);
   void CloseIdleConnections(Backend* backend);
   void CloseLongestIdle();
 
@@ -123,6 +132,7 @@
   const size_t max_connections_;
   size_t connections_ = 0;
   uint64_t last_attempt_ = 0;
+  uint64_t last_incarnation_ = 0;
   std::unordered_map<uint32_t, std::unique_ptr<Backend>> backends_;
   // Connections by the id of the attempt that they carry. The map holds the pool's reference to such a
   // connection.
--- a/src/net/backend_membership.cpp
+++ b/src/net/backend_membership.cpp
@@ -11,7 +11,7 @@
   for (const ListedEndpoint& listed : list.endpoints) {
     uint32_t id = listed.endpoint.id;
     switch (listed.endpoint.state) {
-      case EndpointState::kReady: pool_.Update(id, listed.address); break;
+      case EndpointState::kReady: pool_.Update(id, listed.address, listed.endpoint.started_at_s); break;
       case EndpointState::kDraining: pool_.Drain(id, list.notified_at); break;
       case EndpointState::kRemoved: pool_.Remove(id); break;
     }
--- a/tests/net/backend_connection_pool_test.cpp
+++ b/tests/net/backend_connection_pool_test.cpp
@@ -118,11 +118,11 @@
 }
 
 // A connection is established, but before the pool has seen that, the endpoint list reports that the backend
-// has been draining for longer than its grace, is removed, or has another address. If the request were still
-// sent, it would reach a backend that must not receive it. The grace is counted from the notification, which
-// may be long before the list was read.
+// has been draining for longer than its grace, is removed, has another address or has restarted. If the
+// request were still sent, it would reach a backend that must not receive it. The grace is counted from the
+// notification, which may be long before the list was read.
 TEST(BackendConnectionPool, SendsNothingIfTheEndpointListChangesWhileConnecting) {
-  for (std::string change : {"drained long ago", "drained now", "removed", "moved"}) {
+  for (std::string change : {"drained long ago", "drained now", "removed", "moved", "restarted"}) {
     ManualListener backend;
     PoolFixture fixture;
     fixture.pool.Update(1, LoopbackEndpoint(backend.port()));
@@ -131,6 +131,7 @@
     if (change == "drained now") fixture.pool.Drain(1, Clock::now());
     if (change == "removed") fixture.pool.Remove(1);
     if (change == "moved") fixture.pool.Update(1, LoopbackEndpoint(UnusedPort()));
+    if (change == "restarted") fixture.pool.Update(1, LoopbackEndpoint(backend.port()), 5);
     if (change == "drained now") {
       fixture.RunUntil([&] { return backend.HasPending(); });
       auto connection = backend.Accept();
@@ -230,5 +231,81 @@
   EXPECT_TRUE(backend.HasPending()) << "the second request needs a new connection";
 }
 
+// A new process comes up under the name and at the address of one whose machine has fallen silent (picture
+// (d) of "What the review found"). The connections to the old one stay open. A request that is sent on one of
+// them gets no answer, or runs at a process that counts as gone.
+TEST(BackendConnectionPool, SendsNothingOnConnectionsOfAnEarlierProcess) {
+  constexpr double kStartedAtS = 1000;
+  enum class Old { kIdle, kAnswersLate, kAnswersAfterItWasRemoved };
+  for (Old old : {Old::kIdle, Old::kAnswersLate, Old::kAnswersAfterItWasRemoved}) {
+    ManualListener backend;
+    PoolFixture fixture;
+    const auto address = LoopbackEndpoint(backend.port());
+    fixture.pool.Update(1, address, kStartedAtS);
+    fixture.Send(1, "one");
+    fixture.RunUntil([&] { return backend.HasPending(); });
+    auto old_process = backend.Accept();
+    fixture.AwaitReadable(*old_process);
+    old_process->Receive();
+    auto answer = [&] {
+      old_process->Write(OkResponse("one"));
+      fixture.RunUntil([&] { return fixture.results.size() == 1; });
+      EXPECT_EQ(fixture.results[0].result, CallResult::kOk) << "a request that was written may be answered";
+    };
+    if (old == Old::kIdle) answer();
+    bool removed = old == Old::kAnswersAfterItWasRemoved;
+    if (removed) fixture.pool.Remove(1);
+    fixture.pool.Update(1, address, removed ? kStartedAtS : kStartedAtS + 1);
+    if (old != Old::kIdle) answer();
+    fixture.Send(1, "two");
+    fixture.RunUntil([&] { return backend.HasPending() || old_process->IsReadable(); });
+    ASSERT_TRUE(backend.HasPending()) << "the request went to the old process";
+    auto new_process = backend.Accept();
+    fixture.AwaitReadable(*new_process);
+    EXPECT_TRUE(old_process->AwaitEnd()) << "the old connection got " << old_process->unread;
+  }
+}
+
+// A request is partly written when its backend is listed with a later start. Its rest must not go to the old
+// process, and as it cannot have run, it may go to another backend at once.
+TEST(BackendConnectionPool, EndsARequestThatIsPartlyWrittenToAnEarlierProcess) {
+  ManualListener backend;
+  PoolFixture fixture;
+  fixture.pool.Update(1, LoopbackEndpoint(backend.port()));
+  fixture.Send(1, std::string(64 << 20, 'r'));  // more than socket buffers hold
+  fixture.RunUntil([&] { return backend.HasPending(); });
+  auto old_process = backend.Accept();
+  fixture.AwaitReadable(*old_process);
+  fixture.pool.Update(1, LoopbackEndpoint(backend.port()), 5);
+  EXPECT_TRUE(fixture.results.empty()) << "no completion runs while a list is applied";
+  fixture.RunUntil([&] { return fixture.results.size() == 1; });
+  ASSERT_EQ(fixture.results.size(), 1u);
+  EXPECT_EQ(fixture.results[0].result, CallResult::kConnectFailed);
+}
+
+// The same process is listed again: with its start, with 0 once that is long ago, or by an agent that has an
+// older list. Its connections are used on, as each new one costs the backend work.
+TEST(BackendConnectionPool, ReusesConnectionsOfAProcessThatIsListedAgain) {
+  ManualListener backend;
+  PoolFixture fixture;
+  const auto address = LoopbackEndpoint(backend.port());
+  fixture.pool.Update(1, address, 1000);
+  fixture.Send(1, "one");
+  fixture.RunUntil([&] { return backend.HasPending(); });
+  auto connection = backend.Accept();
+  for (double listed_start_s : {1000.0, 0.0, 900.0, 1000.0}) {
+    fixture.AwaitReadable(*connection);
+    connection->Receive();
+    connection->unread.clear();
+    connection->Write(OkResponse("x"));
+    fixture.RunUntil([&] { return fixture.results.size() == 1; });
+    fixture.results.clear();
+    fixture.pool.Update(1, address, listed_start_s);
+    fixture.Send(1, "more");
+  }
+  fixture.AwaitReadable(*connection);
+  EXPECT_EQ(fixture.pool.connections(), 1u);
+}
+
 }  // namespace
 }  // namespace gateway::net
