Learn nothing of a restarted backend from attempts at its earlier process

It got no request while attempts at its silent old process filled the limit, was ejected when those ended, and once it had answered another request an attempt at the old process was waited for until the client's time was over. Cause: EndpointSet kept what it had learnt by the name, save an ejection in force, and outcomes and silence were judged by the name. Change: a backend has an incarnation, which a later start renews together with all that was learnt; each attempt bears it. Outcomes of attempts at an earlier one teach nothing, and such an attempt counts as silent. Slow start is as before. An earlier start or 0 is the same process. OutlierDetector::RecordRestart had no other use and is gone. The test of a partly written request at the pool now has a timeout beyond its waits: with the old rule it passed by the attempt's own timeout.

--- a/src/policy/admission_policy.cpp
+++ b/src/policy/admission_policy.cpp
@@ -261,7 +261,8 @@
 
   // `tenant` is null if it has been removed from the table.
   void Forward(Tenant* tenant, InFlightRequest* request, Backend* backend, double now_s, Actions* actions) {
-    request->attempts.push_back({backend->endpoint.id, now_s, true, running_clock_.At(now_s)});
+    request->attempts.push_back(
+        {backend->endpoint.id, now_s, true, running_clock_.At(now_s), backend->incarnation});
     ++request->attempts_in_flight;
     ++backend->attempts_in_flight;
     load_shedder_.RecordAttemptStarted();
@@ -292,7 +293,8 @@
     if (settings_.hedging_enabled) {
       // With other attempts in flight at this backend, it is the backend that is silent and not only this
       // request that is slow.
-      if (backend->attempts_in_flight > 1) feedback_.RecordFailure(backend, now_s, actions);
+      bool is_serving = backend->IsServing(request->attempts.back());
+      if (is_serving && backend->attempts_in_flight > 1) feedback_.RecordFailure(backend, now_s, actions);
       StartAnotherAttempt(request, now_s, actions);
     } else if (settings_.cancellation_enabled && retry_policy_.MayRetry(*request, now_s)) {
       int last = static_cast<int>(request->attempts.size()) - 1;
@@ -332,7 +334,7 @@
       counter_.ReportConcurrency(tenant, now_s, actions);
     }
     Backend* backend = endpoints_.Find(attempt.backend_id);
-    if (backend != nullptr) {
+    if (backend != nullptr && backend->IsServing(attempt)) {
       --backend->attempts_in_flight;
       feedback_.Record(backend, *request, attempt, outcome, now_s, actions);
     }
--- a/src/policy/endpoint_selector.cpp
+++ b/src/policy/endpoint_selector.cpp
@@ -33,7 +33,8 @@
   if (backend.endpoint.zone != zone_) cost *= kOtherZoneFactor;
   if (backend.warm_up.IsActive()) cost *= kWarmingUpFactor;
   for (const Attempt& attempt : request.attempts) {
-    if (attempt.backend_id == backend.endpoint.id) cost += kRepeatedBackendCost;
+    bool repeated = attempt.backend_id == backend.endpoint.id && backend.IsServing(attempt);
+    if (repeated) cost += kRepeatedBackendCost;
   }
   return cost;
 }
--- a/src/policy/endpoint_set.cpp
+++ b/src/policy/endpoint_set.cpp
@@ -17,14 +17,26 @@
   Backend* backend = Find(endpoint.id);
   if (backend == nullptr) {
     if (endpoint.state == EndpointState::kRemoved) return;
-    backend = &backends_.emplace_back();
-    backend->last_response_at_s = now_s;
+    backend = &backends_.emplace_back(NewIncarnation(now_s));
   }
-  bool restarted = endpoint.started_at_s > 0 && endpoint.started_at_s != backend->endpoint.started_at_s;
-  backend->endpoint = endpoint;
-  if (restarted && slow_start->BeginAfterRestart(&backend->warm_up, endpoint.started_at_s, now_s)) {
-    backend->outlier.RecordRestart();
+  // An earlier start is older news, and 0 may be listed for the same process once its start is long ago.
+  double known_start_s = backend->endpoint.started_at_s;
+  bool restarted = endpoint.started_at_s > known_start_s;
+  if (restarted) {
+    WarmUp warm_up = backend->warm_up;  // a warm-up that has begun goes on, or begins anew below
+    *backend = NewIncarnation(now_s);
+    backend->warm_up = warm_up;
   }
+  backend->endpoint = endpoint;
+  backend->endpoint.started_at_s = std::max(known_start_s, endpoint.started_at_s);
+  if (restarted) slow_start->BeginAfterRestart(&backend->warm_up, endpoint.started_at_s, now_s);
+}
+
+Backend EndpointSet::NewIncarnation(double now_s) {
+  Backend backend;
+  backend.incarnation = ++last_incarnation_;
+  backend.last_response_at_s = now_s;
+  return backend;
 }
 
 }  // namespace gateway::policy
--- a/src/policy/endpoint_set.h
+++ b/src/policy/endpoint_set.h
@@ -8,18 +8,28 @@
 
 #include "policy/concurrency_limiter.h"
 #include "policy/events.h"
+#include "policy/in_flight_request.h"
 #include "policy/outlier_detector.h"
 #include "policy/slow_start.h"
 
 namespace gateway::policy {
 
-// One backend. The load balancing state reflects only the attempts of this gateway.
+// One backend. The load balancing state reflects only the attempts of this gateway, and only those sent to
+// the present incarnation of the backend, which is its process since its last start.
 struct Backend {
   bool IsReady() const { return endpoint.state == EndpointState::kReady; }
   // Returns whether the backend has sent no response after `since_s`.
   bool IsSilentSince(double since_s) const { return last_response_at_s <= since_s; }
+  // Returns whether the attempt was sent to the present incarnation.
+  bool IsServing(const Attempt& attempt) const { return attempt.incarnation == incarnation; }
+  // Returns whether nothing shows that the process of the attempt is still running: it has restarted, or has
+  // sent no response since.
+  bool IsSilentTo(const Attempt& attempt) const {
+    return !IsServing(attempt) || IsSilentSince(attempt.sent_at_s);
+  }
 
   Endpoint endpoint;
+  uint64_t incarnation = 0;  // never that of another backend or of an earlier process of this one
   int attempts_in_flight = 0;
   double relative_latency = 1;    // mean latency of its responses, relative to that of all backends
   double last_response_at_s = 0;  // time of its last response; before the first, time when it was listed
@@ -29,7 +39,8 @@
 };
 
 // A backend that has been removed from the endpoint list is kept in state kRemoved until its last attempt has
-// ended.
+// ended. A backend that is listed with a later start is another process: all that was learnt of the one
+// before is dropped.
 //
 // The set owns the backends. Pointers to them stay valid until the next call of ApplyUpdate.
 class EndpointSet {
@@ -75,8 +86,10 @@
 
  private:
   void ApplyEndpoint(const Endpoint& endpoint, double now_s, SlowStart* slow_start);
+  Backend NewIncarnation(double now_s);
 
   std::vector<Backend> backends_;
+  uint64_t last_incarnation_ = 0;
 };
 
 }  // namespace gateway::policy
--- a/src/policy/in_flight_request.h
+++ b/src/policy/in_flight_request.h
@@ -14,6 +14,7 @@
   double sent_at_s = 0;
   bool in_flight = false;
   double sent_at_running_s = 0;  // the same time on RunningClock
+  uint64_t incarnation = 0;      // of the backend, when the attempt was sent
 };
 
 struct InFlightRequest {
--- a/src/policy/outlier_detector.h
+++ b/src/policy/outlier_detector.h
@@ -26,9 +26,6 @@
   bool RecordFailure(double now_s);
   // Returns true if this success ends a probation.
   bool RecordSuccess();
-  // Records that the backend's process has restarted. Ends an ejection and clears the failure rate, but does
-  // not end a probation.
-  void RecordRestart() { ejected_until_s_ = failure_rate_ = 0; }
 
   bool IsEjected(double now_s) const { return ejected_until_s_ > now_s; }
   bool IsOnProbation() const { return on_probation_; }
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -56,7 +56,7 @@
                                       double now_s) const {
   // A backend that hangs answers no request at all. A busy one still answers other requests.
   const Attempt& last = request.attempts.back();
-  if (!last.in_flight || backend == nullptr || !backend->IsSilentSince(last.sent_at_s)) return false;
+  if (!last.in_flight || backend == nullptr || !backend->IsSilentTo(last)) return false;
   if (request.attempts_in_flight != 1 || retry_budget_ < 1) return false;
   return ClassOf(request).idempotency == Idempotency::kIdempotent && AllowsAnotherAttempt(request, now_s);
 }
--- a/tests/net/backend_connection_pool_test.cpp
+++ b/tests/net/backend_connection_pool_test.cpp
@@ -272,7 +272,8 @@
   ManualListener backend;
   PoolFixture fixture;
   fixture.pool.Update(1, LoopbackEndpoint(backend.port()));
-  fixture.Send(1, std::string(64 << 20, 'r'));  // more than socket buffers hold
+  constexpr double kTimeoutS = 10 * kWaitTimeoutS;
+  fixture.Send(1, std::string(64 << 20, 'r'), kTimeoutS);  // more than socket buffers hold
   fixture.RunUntil([&] { return backend.HasPending(); });
   auto old_process = backend.Accept();
   fixture.AwaitReadable(*old_process);
