Name the rejection of a request that is cut off

Cause: RejectMalformed(bad_content_length) stood four times for it, and NeedsBytes wrote IsIncomplete again. Change: RejectCutOff, IsIncomplete, and an include that a test lacked. Behaviour is the same.

--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -55,7 +55,7 @@
   if (state_ != State::kAwaitingResponse) return;
   // The rest of a request that is cut off may have come later. Its client must not take it for served.
   if (CheckRequestEnd(BytesBehindRequest()) == RequestEnd::kDoubtful) {
-    return RejectMalformed(http::error::bad_content_length);
+    return RejectCutOff();
   }
   // A request that the client has already sent is served before the connection is closed.
   bool last_response = owner_->ClosesAfterResponses() && !HasUnprocessedBytes();
@@ -102,7 +102,7 @@
   if (state_ == State::kClosed) return true;
   bool request_passed_on = !eviction_position_.incomplete.has_value();
   if (request_passed_on) return false;
-  if (state_ == State::kCheckingEnd) RejectMalformed(http::error::bad_content_length);
+  if (state_ == State::kCheckingEnd) RejectCutOff();
   Close();
   return true;
 }
@@ -277,7 +277,7 @@
   if (!read_timed_out_ || !NeedsBytes()) return;
   if (read_timeout_grace_.MustWait(read_bytes_, UnreadBytes(socket_))) return;
   if (IsReading()) return Close();
-  RejectMalformed(http::error::bad_content_length);
+  RejectCutOff();
 }
 
 void ClientSession::OnRequestComplete() {
@@ -297,7 +297,7 @@
   switch (CheckRequestEnd(following)) {
     case RequestEnd::kTrusted: return PassOn();
     case RequestEnd::kUndecided: return HoldBack();
-    case RequestEnd::kDoubtful: return RejectMalformed(http::error::bad_content_length);
+    case RequestEnd::kDoubtful: return RejectCutOff();
   }
 }
 
@@ -332,6 +332,9 @@
   owner_->OnRequest(this, held_back);
 }
 
+// Answers a request whose length is, or may be, too small.
+void ClientSession::RejectCutOff() { RejectMalformed(http::error::bad_content_length); }
+
 // Answers a malformed request and closes the connection, since the framing of the following bytes is unknown.
 void ClientSession::RejectMalformed(error_code error) {
   DisarmReadTimeout();
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -141,7 +141,7 @@
   bool IsIncomplete() const { return state_ == State::kReceiving || state_ == State::kCheckingEnd; }
 
   // Whether the session is waiting for bytes that complete a request or tell whether it is cut off.
-  bool NeedsBytes() const { return IsReading() || state_ == State::kCheckingEnd; }
+  bool NeedsBytes() const { return state_ == State::kIdle || IsIncomplete(); }
   bool MayRead() const;
   bool HasReadAhead() const;
 
@@ -164,6 +164,7 @@
   std::string_view BytesBehindRequest() const;
   bool HasUnreadBytesBehindRequest();
   void PassOn();
+  void RejectCutOff();
   void RejectMalformed(error_code error);
   void Write(const Response& response, bool keep_alive);
   void OnWritten(error_code error, bool keep_alive);
--- a/tests/net/gateway_unread_bytes_test.cpp
+++ b/tests/net/gateway_unread_bytes_test.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "config/gateway_config.h"
