--- a/tests/net/backend_connection_test.cpp
+++ b/tests/net/backend_connection_test.cpp
@@ -250,7 +250,7 @@
 // connection completes none that states its length, is within a chunk or a head, or exceeds the limit.
 TEST(BackendConnection, FailsATruncatedResponseHoweverItsConnectionEnds) {
   enum class End { kClose, kReset };
-  const std::string kInterimResponse = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  const std::string interim_response = "HTTP/1.1 103 Early Hints\r\n\r\n";
   const std::string ok = "HTTP/1.1 200 OK\r\n";
   const std::map<std::string, std::string> cut_by_any_end = {
       {"length", ok + "Content-Length: 9\r\n\r\nhalf"},
@@ -262,7 +262,7 @@
       {"head before its length", ok},
       {"head within a field", ok + "Content-Le"},
       {"head before its empty line", ok + "Content-Type: text/plain\r\n\r"},
-      {"interim response alone", kInterimResponse},
+      {"interim response alone", interim_response},
       {"no byte", ""}};
   for (const auto& [name, bytes] : cut_by_any_end) {
     for (End end : {End::kClose, End::kReset}) {
@@ -272,7 +272,7 @@
       end == End::kClose ? exchange.CloseInOrder() : exchange.backend->Reset();
       const AttemptResult& result = exchange.AwaitResult();
       EXPECT_EQ(result.result, CallResult::kReset) << name;
-      bool began = !bytes.empty() && bytes != kInterimResponse;
+      bool began = !bytes.empty() && bytes != interim_response;
       EXPECT_EQ(result.fault, began ? ResponseFault::kTruncated : ResponseFault::kNone) << name;
       EXPECT_EQ(result.body, "") << name;
     }
--- a/tests/policy/endpoint_set_test.cpp
+++ b/tests/policy/endpoint_set_test.cpp
@@ -76,7 +76,7 @@
     gateway.ServeOneAtATime(0.05, 20);
     uint32_t waiting = gateway.SendRequest({.time_left_s = 1.4, .tenant = 20});
     ASSERT_TRUE(gateway.Forwarded());
-    const StartTimer* check = gateway.Find<StartTimer>();
+    const auto* check = gateway.Find<StartTimer>();
     ASSERT_NE(check, nullptr);
     double check_delay_s = check->delay_s;
     gateway.Advance(check_delay_s / 2);
